--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,817 @@
+//! All decisions of tidespur. Types, events and actions: `src/interface.rs`.
+//!
+//! Dice (Xie, Hyytiä, Righter, "Size-Aware Dispatching to Fluid Queues") decides the ordinary path: see
+//! [`dice`]. `step` first takes in all that was observed, then places what waits. Every send passes `gate`,
+//! every request ends in `finish` (or by an event that says it is over).
+
+use crate::interface::*;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Dice: backlog a lane plus work under this many mean works is short; the paper's six average jobs.
+const THRESHOLD: f64 = 6.0;
+/// Dice: backlogs within this many mean works of the best are alike, so that schedulers don't hit one machine.
+const MARGIN: f64 = 0.15;
+/// Dice: longer work looks at this many machines with room.
+const FEW: usize = 4;
+/// Running means move by this much for one observation once they have seen enough.
+const SLOW: f64 = 0.01;
+/// And means that must follow a machine's state by this much.
+const QUICK: f64 = 0.25;
+/// Before anything is seen: use of asked cores and memory; tasks ask for more than they use.
+const USE_CORES: f64 = 0.6;
+const USE_MEMORY: f64 = 0.75;
+/// Memory in use is planned up to this share: machines slow down and evict above.
+const MEMORY_FULL: f64 = 0.88;
+/// Cores in use are planned up to this share of a class's calm, as use swings.
+const CORES_FULL: f64 = 0.92;
+/// A task that waited its whole aim may go this far into the fade of its class.
+const STRETCH: f64 = 0.35;
+/// Admission is planned up to this share of the machine's limit: views are late and a refusal costs.
+const ADMIT_FULL: f64 = 0.97;
+/// A start without the program is taken as this many starts with it until both were seen.
+const SETUP: f64 = 6.0;
+/// Seconds of one warm start before any was seen.
+const START: f64 = 0.2;
+/// Programs that a machine is trusted to keep after their last task of ours.
+const KEPT: usize = 4;
+/// Share of the aim within which a start should be foreseen.
+const IN_TIME: f64 = 0.7;
+/// Lists and reports speak of a moment about this long ago.
+const VIEW_LAG: Seconds = 1.0;
+/// An offer unanswered for this many usual answers, and this long, means the machine is silent.
+const SILENT: f64 = 5.0;
+const SILENT_MIN: Seconds = 0.25;
+/// Share of failures (running) from which a machine is set aside, and for how long, doubling.
+const SICK: f64 = 0.5;
+const ASIDE: Seconds = 1.0;
+const ASIDE_MOST: Seconds = 8.0;
+/// A refusal tells that a machine is full for about this long.
+const FULL_FOR: Seconds = 0.5;
+/// Final answers that nothing forces earlier go out this long before the deadline.
+const LEEWAY: Seconds = 0.03;
+/// Held tasks are looked at again at least this often.
+const AGAIN: Seconds = 0.05;
+/// First pause before asking for the list again, doubling, drawn from half to whole.
+const ASK_AGAIN: Seconds = 0.8;
+/// A call for the list that has brought nothing for this long counts as failed.
+const ASK_LOST: Seconds = 6.0;
+/// Points of the result that probes may cost.
+const PROBE_SPEND: f64 = 0.001;
+/// A report older than this is worth a probe.
+const STALE: Seconds = 1.0;
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum State {
+    Held,
+    Out,
+    Bound,
+    /// Nothing is owed, an outcome is still to come.
+    Over,
+}
+
+#[derive(Debug)]
+struct Job {
+    task: Task,
+    state: State,
+    sends: u32,
+    since: Seconds,
+    sent_at: Seconds,
+    machine: MachineId,
+    tried: Vec<MachineId>,
+    /// First attempt that may have run: when it was sent and where.
+    may_run: Option<(Seconds, MachineId)>,
+    life_end: Seconds,
+    counted: bool,
+    start_weight: f64,
+}
+
+#[derive(Debug, Default)]
+struct Machine {
+    listed: bool,
+    leaving: bool,
+    kind: usize,
+    cell: usize,
+    zone: usize,
+    cores: f64,
+    memory: f64,
+    up_since: Option<Seconds>,
+    cold_until: Seconds,
+    own: [f64; 2],
+    lagged: [f64; 2],
+    lagged_at: Seconds,
+    others: [f64; 2],
+    used: [Option<f64>; 2],
+    tasks: u32,
+    /// Backlog = end_sum - now * core_sum, over tasks whose hinted life has not run out.
+    core_sum: f64,
+    end_sum: f64,
+    unanswered: BTreeMap<TaskId, Seconds>,
+    /// Accepted, not known to run: when sent, with how much start work before and with it.
+    starting: BTreeMap<TaskId, (Seconds, f64)>,
+    start_work: f64,
+    unit: Option<f64>,
+    fail: f64,
+    strikes: i32,
+    aside_until: Seconds,
+    full_until: Seconds,
+    offers: VecDeque<Seconds>,
+    programs: VecDeque<ServiceId>,
+    report_at: Seconds,
+    probe_at: Seconds,
+}
+
+impl Machine {
+    fn asked(&self, i: usize) -> f64 {
+        self.own[i] + self.others[i]
+    }
+    fn lag(&mut self, now: Seconds) {
+        let keep = (-(now - self.lagged_at).max(0.0) / VIEW_LAG).exp();
+        for i in 0..2 {
+            self.lagged[i] = self.own[i] + (self.lagged[i] - self.own[i]) * keep;
+        }
+        self.lagged_at = now;
+    }
+    /// What the machine was seen to be asked for in all, a while ago: beyond our own, it is others'.
+    fn see_asked(&mut self, now: Seconds, seen: [Option<f64>; 2]) {
+        self.lag(now);
+        for (i, seen) in seen.into_iter().enumerate() {
+            if let Some(seen) = seen {
+                self.others[i] = (seen - self.lagged[i]).max(0.0);
+            }
+        }
+    }
+}
+
+/// Decides for one scheduler. It knows what its events told it, nothing else.
+#[derive(Debug)]
+pub struct Scheduler {
+    set: Settings,
+    rng: rand_pcg::Pcg32,
+    jobs: BTreeMap<TaskId, Job>,
+    held: Vec<TaskId>,
+    machines: BTreeMap<MachineId, Machine>,
+    spread: BTreeMap<(ServiceId, MachineId), u32>,
+    expiry: BTreeSet<(u64, TaskId)>,
+    works: f64,
+    mean_work: f64,
+    mean_cores: f64,
+    mean_memory: f64,
+    mean_life: f64,
+    used: [f64; 2],
+    answer: f64,
+    starts: [Option<f64>; 2],
+    rate: f64,
+    rate_at: Seconds,
+    next_wake: Seconds,
+    subscribed: bool,
+    asked_at: Option<Seconds>,
+    ask_at: Seconds,
+    ask_fails: i32,
+}
+
+fn micros(t: Seconds) -> u64 {
+    (t.max(0.0) * 1e6) as u64
+}
+
+/// Dice: short work to the least backlog while backlog plus work is under the threshold, longer work to the
+/// longest backlog among a few; alike ones are drawn at random. Returns an index of `backlogs`.
+fn dice(backlogs: &[f64], work: f64, mean_work: f64, rng: &mut impl Rng) -> usize {
+    let margin = MARGIN * mean_work;
+    let least = backlogs.iter().copied().fold(f64::INFINITY, f64::min);
+    let mut near: Vec<usize> = if least + work < THRESHOLD * mean_work {
+        (0..backlogs.len()).filter(|&i| backlogs[i] <= least + margin).collect()
+    } else {
+        let mut few: Vec<usize> = (0..backlogs.len()).collect();
+        for i in 0..FEW.min(few.len()) {
+            let j = rng.random_range(i..few.len());
+            few.swap(i, j);
+        }
+        few.truncate(FEW);
+        let longest = few.iter().map(|&i| backlogs[i]).fold(0.0, f64::max);
+        few.retain(|&i| backlogs[i] >= longest - margin);
+        few
+    };
+    if near.is_empty() {
+        near.push(0);
+    }
+    near[rng.random_range(0..near.len())]
+}
+
+impl Scheduler {
+    /// A scheduler that knows nothing yet; `seed` is all the chance it has.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        check(&settings)?;
+        Ok(Self {
+            rng: rand_pcg::Pcg32::seed_from_u64(seed),
+            jobs: BTreeMap::new(),
+            held: Vec::new(),
+            machines: BTreeMap::new(),
+            spread: BTreeMap::new(),
+            expiry: BTreeSet::new(),
+            works: 0.0,
+            mean_work: 0.0,
+            mean_cores: 0.0,
+            mean_memory: 0.0,
+            mean_life: 0.0,
+            used: [USE_CORES, USE_MEMORY],
+            answer: 0.0,
+            starts: [None; 2],
+            rate: 0.0,
+            rate_at: f64::NEG_INFINITY,
+            next_wake: f64::INFINITY,
+            subscribed: !settings.subscribe,
+            asked_at: None,
+            ask_at: 0.0,
+            ask_fails: 0,
+            set: settings,
+        })
+    }
+
+    /// Takes in `events`, all of time `now`, and appends what is to be done.
+    pub fn step(&mut self, now: Seconds, events: Vec<Event>, out: &mut Vec<Action>) {
+        while let Some(&(at, id)) = self.expiry.first().filter(|e| e.0 <= micros(now)) {
+            self.expiry.remove(&(at, id));
+            self.forget_backlog(id);
+        }
+        for event in events {
+            self.observe(now, event);
+        }
+        self.keep_list(now, out);
+        self.place(now, out);
+        self.probe(now, out);
+        self.wake(now, out);
+    }
+
+    fn observe(&mut self, now: Seconds, event: Event) {
+        match event {
+            Event::Submit(task) => {
+                if self.jobs.contains_key(&task.id) {
+                    return;
+                }
+                self.learn_task(now, &task);
+                self.held.push(task.id);
+                self.jobs.insert(task.id, Job::new(task, now, MachineId(u32::MAX)));
+            }
+            Event::InPlace(task, machine) => {
+                if self.jobs.contains_key(&task.id) {
+                    return;
+                }
+                self.learn_task(now, &task);
+                let id = task.id;
+                let mut job = Job::new(task, now, machine);
+                (job.state, job.sends) = (State::Bound, 1);
+                self.jobs.insert(id, job);
+                self.count(now, id);
+            }
+            Event::Confirmed { task, attempt } => {
+                let running = self.set.confirm_when_running;
+                let Some(job) = self.jobs.get_mut(&task) else { return };
+                if job.state != State::Out || attempt + 1 != job.sends {
+                    return;
+                }
+                job.state = State::Bound;
+                let wait = now - job.sent_at;
+                if let Some(m) = self.machines.get_mut(&job.machine) {
+                    m.unanswered.remove(&task);
+                    m.fail *= 1.0 - QUICK;
+                }
+                if running {
+                    self.started(now, task);
+                } else {
+                    self.answer += (wait - self.answer) * if self.answer == 0.0 { 1.0 } else { 0.05 };
+                }
+            }
+            Event::Note { task, note } => self.note(now, task, note),
+            Event::Outcome { task, attempt, ending, closed, report } => {
+                self.outcome(now, task, attempt, ending, closed, report)
+            }
+            Event::Dropped(id) => match self.jobs.get_mut(&id) {
+                Some(job) if job.state == State::Held => {
+                    self.jobs.remove(&id);
+                    self.held.retain(|&h| h != id);
+                }
+                Some(job) => job.state = State::Over,
+                None => {}
+            },
+            Event::Timer(_) => self.next_wake = f64::INFINITY,
+            Event::ListChanges(list) => self.take_list(now, list, false),
+            Event::ListWhole(list) => self.take_list(now, list, true),
+            Event::ListFailed => {
+                (self.subscribed, self.asked_at) = (!self.set.subscribe, None);
+                let most = (self.set.safety.ask_within / 2.0).max(ASK_AGAIN);
+                let pause = (ASK_AGAIN * 2f64.powi(self.ask_fails)).min(most);
+                self.ask_at = now + pause * self.rng.random_range(0.5..1.0);
+                self.ask_fails = (self.ask_fails + 1).min(16);
+            }
+            Event::Probed { machine, report } => {
+                if let Some(m) = self.machines.get_mut(&machine) {
+                    if report.is_none() {
+                        m.fail += (1.0 - m.fail) * QUICK;
+                    }
+                    m.probe_at = now;
+                }
+                self.take_report(now, machine, report);
+            }
+        }
+    }
+
+    fn learn_task(&mut self, now: Seconds, task: &Task) {
+        self.works += 1.0;
+        let by = (1.0 / self.works).max(SLOW);
+        let life = task.life.unwrap_or(self.mean_life);
+        self.mean_life += (life - self.mean_life) * by;
+        self.mean_work += (life * task.cores - self.mean_work) * by;
+        self.mean_cores += (task.cores - self.mean_cores) * by;
+        self.mean_memory += (task.memory - self.mean_memory) * by;
+        if self.rate_at.is_finite() {
+            self.rate *= (-(now - self.rate_at) / 5.0).exp();
+        }
+        self.rate += 0.2;
+        self.rate_at = now;
+    }
+
+    fn note(&mut self, now: Seconds, id: TaskId, note: Note) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let settled = job.state == State::Bound && now - job.sent_at > 4.0;
+        let learn = |mean: &mut f64, level: f64, asked: f64| {
+            if settled && asked > 0.0 && level.is_finite() {
+                *mean += ((level / asked).clamp(0.0, 3.0) - *mean) * SLOW;
+            }
+        };
+        match note {
+            Note::Runs => self.started(now, id),
+            Note::UsesCores(level) => learn(&mut self.used[0], level, job.task.cores),
+            Note::UsesMemory(level) => learn(&mut self.used[1], level, job.task.memory),
+            Note::Served(_) | Note::MachineMemory(_) => {}
+        }
+    }
+
+    /// A task runs: how long its start took tells the pace of its machine's starts.
+    fn started(&mut self, now: Seconds, id: TaskId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(m) = self.machines.get_mut(&job.machine) else { return };
+        let Some((at, work)) = m.starting.remove(&id) else { return };
+        m.start_work = if m.starting.is_empty() { 0.0 } else { (m.start_work - job.start_weight).max(0.0) };
+        (m.strikes, m.fail) = (0, m.fail * (1.0 - QUICK));
+        let took = (now - at).max(0.0);
+        let unit = took / work.max(1.0);
+        m.unit = Some(m.unit.map_or(unit, |u| u + (unit - u) * QUICK));
+        if work == job.start_weight {
+            let mean = &mut self.starts[usize::from(work > 1.0)];
+            *mean = Some(mean.map_or(took, |v| v + (took - v) * 0.05));
+        }
+    }
+
+    fn outcome(
+        &mut self,
+        now: Seconds,
+        id: TaskId,
+        attempt: u32,
+        ending: Ending,
+        closed: bool,
+        report: Option<Report>,
+    ) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if attempt + 1 != job.sends {
+            return;
+        }
+        let (was, machine, sent_at) = (job.state, job.machine, job.sent_at);
+        self.take_report(now, machine, report);
+        self.uncount(now, id);
+        let m = self.machines.entry(machine).or_default();
+        match ending {
+            Ending::Finished | Ending::Cancelled | Ending::Void => {}
+            Ending::Full(Why::Queue) => m.full_until = now + FULL_FOR / 2.0,
+            Ending::Full(_) => m.full_until = now + FULL_FOR,
+            Ending::Broken(Why::SentAway) => m.full_until = now + VIEW_LAG,
+            Ending::Broken(Why::Evicted | Why::PushedOut) => m.full_until = now + FULL_FOR,
+            // Failures of any kind, before or after the confirmation: the machine may be dead, silent, cut
+            // off or returning errors; what matters is the share of them. Harm: an error of the task itself
+            // counts against its machine, so a few never set it aside.
+            Ending::Failed | Ending::Late | Ending::NoConnection | Ending::Broken(_) => {
+                m.fail += (1.0 - m.fail) * if ending == Ending::NoConnection { SICK } else { QUICK };
+                if matches!(ending, Ending::NoConnection | Ending::Broken(_)) {
+                    // It may have died: the list tells late, so it counts as cold once it answers again.
+                    m.cold_until = now + self.set.safety.cold;
+                    m.programs.clear();
+                }
+                if m.fail >= SICK && now >= m.aside_until {
+                    m.aside_until = now + (ASIDE * 2f64.powi(m.strikes)).min(ASIDE_MOST);
+                    m.strikes = (m.strikes + 1).min(8);
+                }
+            }
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if closed || was != State::Out {
+            self.jobs.remove(&id);
+            return;
+        }
+        if matches!(ending, Ending::Failed | Ending::Late | Ending::Broken(_) | Ending::Cancelled) {
+            job.may_run.get_or_insert((sent_at, machine));
+        }
+        if ending != Ending::Void {
+            job.tried.push(machine);
+        }
+        job.state = State::Held;
+        self.held.push(id);
+    }
+
+    fn take_report(&mut self, now: Seconds, id: MachineId, report: Option<Report>) {
+        let (Some(m), Some(report)) = (self.machines.get_mut(&id), report) else { return };
+        m.report_at = now;
+        let size = [m.cores, m.memory];
+        let taken = [report.free_cores.map(|f| size[0] - f), report.free_memory.map(|f| size[1] - f)];
+        if self.set.reports_use {
+            m.lag(now);
+            for i in 0..2 {
+                let asked = m.lagged[i] + m.others[i];
+                let Some(taken) = taken[i].filter(|_| asked > 0.1 * size[i]) else { continue };
+                let ratio = (taken / asked).clamp(0.1, 2.0);
+                m.used[i] = Some(m.used[i].map_or(ratio, |u| u + (ratio - u) * QUICK));
+                self.used[i] += (ratio - self.used[i]) * SLOW;
+            }
+        } else {
+            m.see_asked(now, taken);
+            if let Some(busy) = report.busy.filter(|_| m.asked(0) > 0.1 * size[0]) {
+                let ratio = (busy * size[0] / m.asked(0)).clamp(0.1, 2.0);
+                m.used[0] = Some(m.used[0].map_or(ratio, |u| u + (ratio - u) * QUICK));
+            }
+        }
+    }
+
+    fn take_list(&mut self, now: Seconds, list: Vec<Entry>, whole: bool) {
+        (self.asked_at, self.ask_fails) = (None, 0);
+        if whole {
+            self.machines.values_mut().for_each(|m| m.leaving = true);
+        }
+        for e in list {
+            let m = self.machines.entry(e.machine).or_default();
+            let Some(kind) = self.set.kinds.get(e.kind) else { continue };
+            (m.cores, m.memory) = (kind.cores, kind.memory);
+            (m.listed, m.kind, m.cell, m.zone) = (true, e.kind, e.cell, e.zone);
+            m.leaving = e.standing != Standing::Ready;
+            if e.up_since > m.up_since {
+                m.programs.clear();
+            }
+            m.up_since = e.up_since;
+            if self.set.lists_free {
+                m.see_asked(now, [Some(m.cores - e.free_cores), Some(m.memory - e.free_memory)]);
+            }
+        }
+    }
+
+    /// Counts a send or a task in place against its machine.
+    fn count(&mut self, now: Seconds, id: TaskId) {
+        let (mean_life, setup) = (self.mean_life, self.setup());
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let warm = self.spread.contains_key(&(job.task.service, job.machine));
+        *self.spread.entry((job.task.service, job.machine)).or_default() += 1;
+        let m = self.machines.entry(job.machine).or_default();
+        m.lag(now);
+        m.own[0] += job.task.cores;
+        m.own[1] += job.task.memory;
+        m.tasks += 1;
+        job.life_end = now + job.task.life.unwrap_or(mean_life).clamp(0.0, 1e7);
+        m.core_sum += job.task.cores;
+        m.end_sum += job.task.cores * job.life_end;
+        job.counted = true;
+        self.expiry.insert((micros(job.life_end), id));
+        if job.state == State::Out {
+            job.start_weight = if warm || m.programs.contains(&job.task.service) { 1.0 } else { setup };
+            m.start_work += job.start_weight;
+            m.unanswered.insert(id, now);
+            m.starting.insert(id, (now, m.start_work));
+        } else {
+            m.lagged = m.own;
+        }
+    }
+
+    fn forget_backlog(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if !std::mem::take(&mut job.counted) {
+            return;
+        }
+        if let Some(m) = self.machines.get_mut(&job.machine) {
+            m.core_sum -= job.task.cores;
+            m.end_sum -= job.task.cores * job.life_end;
+        }
+    }
+
+    /// Takes back all that `count` did.
+    fn uncount(&mut self, now: Seconds, id: TaskId) {
+        self.forget_backlog(id);
+        let Some(job) = self.jobs.get(&id) else { return };
+        self.expiry.remove(&(micros(job.life_end), id));
+        let Some(m) = self.machines.get_mut(&job.machine) else { return };
+        m.lag(now);
+        m.own[0] -= job.task.cores;
+        m.own[1] -= job.task.memory;
+        m.tasks -= 1;
+        if m.tasks == 0 {
+            (m.own, m.core_sum, m.end_sum) = ([0.0; 2], 0.0, 0.0);
+        }
+        m.unanswered.remove(&id);
+        if m.starting.remove(&id).is_some() {
+            m.start_work =
+                if m.starting.is_empty() { 0.0 } else { (m.start_work - job.start_weight).max(0.0) };
+        }
+        let key = (job.task.service, job.machine);
+        if let Some(n) = self.spread.get_mut(&key) {
+            *n -= 1;
+            if *n == 0 {
+                self.spread.remove(&key);
+                m.programs.retain(|&p| p != key.0);
+                m.programs.push_back(key.0);
+                if m.programs.len() > KEPT {
+                    m.programs.pop_front();
+                }
+            }
+        }
+    }
+
+    fn cold(&self, m: &Machine, now: Seconds) -> bool {
+        m.up_since.is_some_and(|up| now < up + self.set.safety.cold) || now < m.cold_until
+    }
+
+    /// Offers that this scheduler may make to a cold machine within how long: its part of what all may.
+    fn cold_budget(&self) -> (usize, Seconds) {
+        let part = self.set.safety.cold_bears / self.set.schedulers as f64;
+        let window = self.set.safety.overload_for * 1.25;
+        if part >= 1.0 { (part as usize, window) } else { (1, window / part.max(1e-3)) }
+    }
+
+    /// The one gate: the five rules, for one more send of this task to this machine.
+    fn gate(&self, now: Seconds, job: &Job, id: MachineId, m: &Machine) -> bool {
+        let class = &self.set.classes[job.task.class];
+        let owed = job.state == State::Held && job.sends < self.set.max_attempts;
+        let in_time = now + LEEWAY < job.task.deadline;
+        let here = m.listed && !m.leaving && class.kind.is_none_or(|k| k == m.kind);
+        if !owed || !in_time || !here {
+            return false;
+        }
+        let once = match (job.may_run, class.effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (_, Effect::Unsafe) => false,
+            (Some((at, first)), Effect::Keyed { group, window }) => {
+                now + LEEWAY < at + window && self.same_place(group, id, m, first)
+            }
+        };
+        if !once {
+            return false;
+        }
+        if self.cold(m, now) {
+            let (most, window) = self.cold_budget();
+            if m.offers.iter().filter(|&&at| at > now - window).count() >= most {
+                return false;
+            }
+        }
+        let Some(place) = class.spread else { return true };
+        let there: u32 = self
+            .spread
+            .range((job.task.service, MachineId(0))..=(job.task.service, MachineId(u32::MAX)))
+            .filter(|((_, other), _)| self.same_place(place, id, m, *other))
+            .map(|(_, n)| n)
+            .sum();
+        there < class.spread_most
+    }
+
+    fn same_place(&self, place: Place, id: MachineId, m: &Machine, other: MachineId) -> bool {
+        let known = self.machines.get(&other).filter(|o| o.listed);
+        match place {
+            Place::All => true,
+            Place::Machine => id == other,
+            Place::Zone => known.is_some_and(|o| o.zone == m.zone),
+            Place::Cell => known.is_some_and(|o| o.cell == m.cell),
+        }
+    }
+
+    fn setup(&self) -> f64 {
+        match self.starts {
+            [Some(warm), Some(cold)] if warm > 0.0 => (cold / warm).clamp(1.0, 20.0),
+            _ => SETUP,
+        }
+    }
+
+    /// How long until the task would run there, from the pace of starts seen there.
+    fn start_in(&self, now: Seconds, job: &Job, id: MachineId, m: &Machine) -> Seconds {
+        let warm =
+            m.programs.contains(&job.task.service) || self.spread.contains_key(&(job.task.service, id));
+        let unit = m.unit.or(self.starts[0]).unwrap_or(START);
+        let unit = m.starting.values().next().map_or(unit, |&(at, work)| unit.max((now - at) / work));
+        unit * (m.start_work + if warm { 1.0 } else { self.setup() })
+    }
+
+    /// Whether the machine has room: within its admission, and within what it can serve well.
+    fn fits(&self, now: Seconds, job: &Job, m: &Machine) -> bool {
+        let (class, task) = (&self.set.classes[job.task.class], &job.task);
+        let waited = ((now - job.since) / class.aim.max(0.01)).clamp(0.0, 1.0);
+        let use_of = |i: usize| m.used[i].unwrap_or(self.used[i]).max(0.05);
+        let calm = class.calm * CORES_FULL + STRETCH * class.fade * waited;
+        let cores = (self.set.admit_cores * ADMIT_FULL).min(calm / use_of(0)) * m.cores;
+        let memory = (self.set.admit_memory * ADMIT_FULL).min(MEMORY_FULL / use_of(1)) * m.memory;
+        now >= m.full_until && m.asked(0) + task.cores <= cores && m.asked(1) + task.memory <= memory
+    }
+
+    fn backlog(&self, now: Seconds, m: &Machine) -> f64 {
+        let lanes_cores = m.cores / (self.used[0] * self.mean_cores).max(1e-6);
+        let lanes_memory = MEMORY_FULL * m.memory / (self.used[1] * self.mean_memory).max(1e-6);
+        let others = m.others[0] * self.mean_life;
+        ((m.end_sum - now * m.core_sum).max(0.0) + others) / lanes_cores.min(lanes_memory).max(1.0)
+    }
+
+    fn pick(&mut self, now: Seconds, id: TaskId) -> Option<MachineId> {
+        let job = &self.jobs[&id];
+        let mut found: Vec<(MachineId, &Machine)> = self
+            .machines
+            .iter()
+            .map(|(&mid, m)| (mid, m))
+            .filter(|&(mid, m)| self.gate(now, job, mid, m) && self.fits(now, job, m))
+            // A machine set aside gets nothing, then one task at a time until one has started.
+            .filter(|(_, m)| now >= m.aside_until && (m.fail < SICK || m.starting.is_empty()))
+            .collect();
+        let silent = (SILENT * self.answer).max(SILENT_MIN);
+        narrow(&mut found, |(mid, _)| !job.tried.contains(mid));
+        narrow(&mut found, |(_, m)| m.unanswered.values().next().is_none_or(|at| now - at < silent));
+        if self.set.prices.machines > 0.0 {
+            narrow(&mut found, |(_, m)| m.asked(0) > 0.0);
+        }
+        let soonest =
+            found.iter().map(|&(mid, m)| self.start_in(now, job, mid, m)).fold(f64::INFINITY, f64::min);
+        let aim = self.set.classes[job.task.class].aim * IN_TIME;
+        narrow(&mut found, |&(mid, m)| self.start_in(now, job, mid, m) <= aim.max(soonest * 1.25));
+        if found.is_empty() {
+            return None;
+        }
+        let known: Vec<f64> = found.iter().map(|(_, m)| self.backlog(now, m)).collect();
+        let mean = known.iter().sum::<f64>() / known.len() as f64;
+        let new = |m: &Machine| m.tasks == 0 || self.cold(m, now);
+        let backlogs: Vec<f64> =
+            found.iter().zip(&known).map(|((_, m), &b)| if new(m) { mean } else { b }).collect();
+        let work = job.task.life.map_or(self.mean_work, |life| life * job.task.cores);
+        let ids: Vec<MachineId> = found.iter().map(|f| f.0).collect();
+        Some(ids[dice(&backlogs, work, self.mean_work, &mut self.rng)])
+    }
+
+    fn place(&mut self, now: Seconds, out: &mut Vec<Action>) {
+        let mut held = std::mem::take(&mut self.held);
+        let classes = &self.set.classes;
+        held.sort_by(|a, b| {
+            let worth = |id: &TaskId| self.jobs.get(id).map_or(0.0, |j| classes[j.task.class].worth);
+            worth(b).total_cmp(&worth(a)).then(a.cmp(b))
+        });
+        for id in held {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let effect = self.set.classes[job.task.class].effect;
+            let barred = job.may_run.is_some_and(|(at, _)| match effect {
+                Effect::Safe => false,
+                Effect::Unsafe => true,
+                Effect::Keyed { window, .. } => now + LEEWAY >= at + window,
+            });
+            if barred || job.sends >= self.set.max_attempts || now + LEEWAY >= job.task.deadline {
+                self.finish(id, out);
+            } else if let Some(machine) = self.pick(now, id) {
+                self.send(now, id, machine, out);
+            } else {
+                self.held.push(id);
+            }
+        }
+    }
+
+    fn send(&mut self, now: Seconds, id: TaskId, machine: MachineId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let class = &self.set.classes[job.task.class];
+        let usual = match class.effect {
+            _ if self.set.confirm_when_running => class.deadline / 2.0,
+            Effect::Unsafe => class.deadline / 2.0,
+            _ => class.aim,
+        };
+        let wait = usual.max(SILENT * self.answer).min(job.task.deadline - now - LEEWAY / 2.0);
+        (job.state, job.sent_at, job.machine) = (State::Out, now, machine);
+        job.sends += 1;
+        self.count(now, id);
+        let keep = now - self.cold_budget().1;
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.offers.push_back(now);
+            while m.offers.front().is_some_and(|&at| at < keep) {
+                m.offers.pop_front();
+            }
+        }
+        out.push(Action::Send { task: id, machine, wait });
+    }
+
+    /// The one end of a request that was not placed: a refusal where it is harmless, else a failure.
+    fn finish(&mut self, id: TaskId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        let harmless = job.may_run.is_none()
+            || match self.set.classes[job.task.class].effect {
+                Effect::Safe => true,
+                Effect::Keyed { group, .. } => group == Place::All,
+                Effect::Unsafe => false,
+            };
+        out.push(if harmless { Action::Refuse { task: id, retry_in: 0.0 } } else { Action::Fail(id) });
+    }
+
+    fn keep_list(&mut self, now: Seconds, out: &mut Vec<Action>) {
+        if self.asked_at.is_some_and(|at| now - at > ASK_LOST) {
+            (self.subscribed, self.asked_at, self.ask_at) = (false, None, now);
+        }
+        if self.subscribed || now < self.ask_at {
+            return;
+        }
+        (self.subscribed, self.asked_at) = (true, Some(now));
+        out.push(Action::Subscribe);
+    }
+
+    /// Probes the machine whose report is oldest, as often as the price allows.
+    fn probe(&mut self, now: Seconds, out: &mut Vec<Action>) {
+        if !self.set.probes || self.set.reports == Reports::None {
+            return;
+        }
+        let spend = if self.set.prices.probe > 0.0 { PROBE_SPEND / self.set.prices.probe } else { 1.0 };
+        let each = (self.machines.len() as f64 / (self.rate * spend).max(0.1)).max(STALE);
+        for (&id, m) in &mut self.machines {
+            let due = now - m.report_at.max(m.probe_at) >= each;
+            let cold = m.up_since.is_some_and(|up| now < up + self.set.safety.cold) || now < m.cold_until;
+            if due && m.listed && !m.leaving && !cold {
+                m.probe_at = now;
+                out.push(Action::Probe(id));
+            }
+        }
+    }
+
+    fn wake(&mut self, now: Seconds, out: &mut Vec<Action>) {
+        let mut at = if self.set.probes { now + STALE / 2.0 } else { f64::INFINITY };
+        if let Some(asked) = self.asked_at {
+            at = at.min(asked + ASK_LOST + 0.01);
+        } else if !self.subscribed {
+            at = at.min(self.ask_at);
+        }
+        for job in self.held.iter().filter_map(|id| self.jobs.get(id)) {
+            at = at.min(now + AGAIN).min(job.task.deadline - LEEWAY);
+        }
+        if at.is_finite() && at < self.next_wake {
+            self.next_wake = at;
+            out.push(Action::Timer { after: (at - now).max(0.001), token: micros(at) });
+        }
+    }
+}
+
+impl Job {
+    fn new(task: Task, now: Seconds, machine: MachineId) -> Self {
+        Self {
+            task,
+            state: State::Held,
+            sends: 0,
+            since: now,
+            sent_at: now,
+            machine,
+            tried: Vec::new(),
+            may_run: None,
+            life_end: now,
+            counted: false,
+            start_weight: 1.0,
+        }
+    }
+}
+
+/// Keeps what `good` likes, or all if it likes nothing.
+fn narrow<T>(found: &mut Vec<T>, good: impl Fn(&T) -> bool) {
+    if found.iter().any(&good) {
+        found.retain(good);
+    }
+}
+
+fn check(set: &Settings) -> Result<(), SettingsError> {
+    let fail = |field, problem: &str| Err(SettingsError { field, problem: problem.to_owned() });
+    let bad = |x: f64| x.is_nan() || x < 0.0;
+    if set.classes.is_empty() {
+        return fail("classes", "at least one is needed");
+    }
+    if set.kinds.is_empty() || set.kinds.iter().any(|k| !(k.cores > 0.0 && k.memory > 0.0)) {
+        return fail("kinds", "at least one is needed, each with cores and memory above 0");
+    }
+    if set.schedulers == 0 || set.ordinal >= set.schedulers {
+        return fail("schedulers", "must be above the ordinal of this one");
+    }
+    for c in &set.classes {
+        if [c.aim, c.deadline, c.worth, c.start_worth, c.calm, c.fade].into_iter().any(bad) {
+            return fail("classes", "a negative time, worth or share");
+        }
+        if c.kind.is_some_and(|k| k >= set.kinds.len()) {
+            return fail("classes", "a kind that is not among the kinds");
+        }
+        if matches!(c.effect, Effect::Keyed { window, .. } if bad(window)) {
+            return fail("classes", "a negative window");
+        }
+    }
+    let s = &set.safety;
+    let times = [s.answer_slack, s.ask_within, s.cold, s.drain_grace, s.overload_for, s.cold_bears];
+    if times.into_iter().chain([s.cold_from, s.fall_multiple]).any(bad) {
+        return fail("safety", "a negative figure");
+    }
+    if bad(set.admit_cores) || bad(set.admit_memory) {
+        return fail("admit_cores", "a negative figure");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,631 @@
+//! Translation between the simulator's wire and [`interface`](crate::interface). No decisions.
+
+use std::collections::{BTreeMap, HashMap};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::Scheduler;
+use crate::interface::*;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Batch {
+    at_time_s: f64,
+    arrivals: Vec<Arrival>,
+}
+
+#[derive(Deserialize)]
+enum Arrival {
+    Page { page: u32, members: Vec<Member> },
+    Start(Start),
+    Exit(Bare),
+    PeersKnown(PeersKnown),
+    Submit(WireTask),
+    InPlace(WireTask),
+    Confirmed(Attempt),
+    UpdateOf(Attempt),
+    ClosedAttempt(Attempt),
+    Vanished(Ticket),
+    Reminder(Token),
+    Echo(EchoOf),
+    Heard(serde::de::IgnoredAny),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Bare {
+    scheduler_id: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Ticket {
+    scheduler_id: String,
+    ticket: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Token {
+    scheduler_id: String,
+    token: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct EchoOf {
+    scheduler_id: String,
+    result: String,
+    machine: String,
+    report: Option<BTreeMap<String, f64>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Start {
+    scheduler_id: String,
+    salt: u64,
+    info: Info,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct PeersKnown {
+    scheduler_id: String,
+    kind: String,
+    #[serde(default)]
+    page: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Member {
+    machine: String,
+    up_since_s: Option<f64>,
+    #[serde(default)]
+    cores_free: f64,
+    #[serde(default)]
+    kind: usize,
+    #[serde(default)]
+    block: usize,
+    #[serde(default)]
+    region_part: usize,
+    health: String,
+    #[serde(default)]
+    memory_free: f64,
+}
+
+/// `Submit` and `InPlace`: the class is `service` in the first and `class` in the second, where `service` is
+/// what the first calls `app`.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTask {
+    scheduler_id: String,
+    ticket: String,
+    service: Value,
+    class: Option<usize>,
+    app: Option<String>,
+    #[serde(default)]
+    party: usize,
+    deadline_s: Option<f64>,
+    life_s: Option<f64>,
+    #[serde(default)]
+    cpu_ask: f64,
+    #[serde(default)]
+    mem_needed: f64,
+    #[serde(default)]
+    returned: bool,
+    machine: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Attempt {
+    scheduler_id: String,
+    ticket: String,
+    #[serde(default)]
+    copy: u32,
+    #[serde(default)]
+    sort: u32,
+    #[serde(default)]
+    level: f64,
+    #[serde(default)]
+    remark: u32,
+    #[serde(default)]
+    done_flag: bool,
+    #[serde(default)]
+    result: String,
+    report: Option<BTreeMap<String, f64>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Info {
+    balancers: usize,
+    ordinal: usize,
+    #[serde(default)]
+    locality: usize,
+    services: Vec<Service>,
+    #[serde(default)]
+    realms: Vec<Realm>,
+    #[serde(default)]
+    discovery: String,
+    family_info: Family,
+    limits: Limits,
+    #[serde(default)]
+    over_share_worth: f64,
+    report: ReportInfo,
+    safety: SafetyInfo,
+    tariffs: Tariffs,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Service {
+    aim_s: f64,
+    deadline_s: f64,
+    effect: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    window_s: f64,
+    credit: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Realm {
+    #[serde(default)]
+    quota_per_s: f64,
+    share: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+#[derive(Default)]
+struct Family {
+    accepts_memory: f64,
+    ack: String,
+    admit_cores: f64,
+    apart_by: Vec<String>,
+    class_calm: Vec<f64>,
+    cold_bears: f64,
+    eviction_as_moves: f64,
+    kind_by_class: Vec<i64>,
+    kind_cores: Vec<f64>,
+    lists_free: bool,
+    lost_after: Vec<f64>,
+    measured_by: String,
+    mem_of_kind: Vec<f64>,
+    priority_by_class: Vec<u32>,
+    refused_price: f64,
+    start_seconds: Vec<f64>,
+    together_max: Vec<u32>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    max_attempts: u32,
+    #[serde(default)]
+    max_retry_after_s: f64,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Deserialize)]
+struct ReportInfo {
+    #[serde(default)]
+    via: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct SafetyInfo {
+    answer_slack_s: f64,
+    #[serde(default)]
+    ask_within_s: f64,
+    cold_from: f64,
+    cold_s: f64,
+    drain_grace_s: f64,
+    fall_multiple: f64,
+    overload_for_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+#[derive(Default)]
+struct Tariffs {
+    fleet: f64,
+    moves: f64,
+    peer: f64,
+    probe: f64,
+}
+
+fn place_of(name: &str) -> Result<Option<Place>, String> {
+    Ok(Some(match name {
+        "all" => Place::All,
+        "zone" => Place::Zone,
+        "cell" => Place::Cell,
+        "machine" => Place::Machine,
+        "none" | "" => return Ok(None),
+        other => return Err(format!("a place must be all, zone, cell, machine or none, not {other:?}")),
+    }))
+}
+
+fn settings_of(info: Info) -> Result<Settings, String> {
+    let fam = info.family_info;
+    let lengths = [
+        ("kindCores", fam.kind_cores.len(), fam.mem_of_kind.len()),
+        ("classCalm", fam.class_calm.len(), info.services.len()),
+        ("lostAfter", fam.lost_after.len(), info.services.len()),
+        ("kindByClass", fam.kind_by_class.len(), info.services.len()),
+        ("priorityByClass", fam.priority_by_class.len(), info.services.len()),
+        ("apartBy", fam.apart_by.len(), info.services.len()),
+        ("togetherMax", fam.together_max.len(), info.services.len()),
+        ("startSeconds", fam.start_seconds.len(), info.services.len()),
+    ];
+    for (field, is, wanted) in lengths {
+        if is != wanted {
+            return Err(format!("settings: familyInfo.{field}: {is} values where {wanted} are needed"));
+        }
+    }
+    let mut classes = Vec::new();
+    for (i, s) in info.services.into_iter().enumerate() {
+        let effect = match s.effect.as_str() {
+            "safe" => Effect::Safe,
+            "unsafe" => Effect::Unsafe,
+            "keyed" => {
+                Effect::Keyed { group: place_of(&s.group)?.unwrap_or(Place::Machine), window: s.window_s }
+            }
+            other => return Err(format!("settings: services[].effect: {other:?} is not known")),
+        };
+        classes.push(Class {
+            aim: s.aim_s,
+            deadline: s.deadline_s,
+            effect,
+            worth: s.credit,
+            start_worth: fam.start_seconds[i],
+            calm: fam.class_calm[i],
+            fade: fam.lost_after[i],
+            kind: usize::try_from(fam.kind_by_class[i]).ok(),
+            priority: fam.priority_by_class[i],
+            spread: place_of(&fam.apart_by[i])?,
+            spread_most: fam.together_max[i],
+        });
+    }
+    let (safety, limits, tariffs) = (info.safety, info.limits, info.tariffs);
+    Ok(Settings {
+        ordinal: info.ordinal,
+        schedulers: info.balancers,
+        zone: info.locality,
+        classes,
+        tenants: info.realms.iter().map(|r| Tenant { share: r.share, quota_per_s: r.quota_per_s }).collect(),
+        kinds: fam
+            .kind_cores
+            .iter()
+            .zip(&fam.mem_of_kind)
+            .map(|(&cores, &memory)| Kind { cores, memory })
+            .collect(),
+        admit_cores: fam.admit_cores,
+        admit_memory: fam.accepts_memory,
+        confirm_when_running: fam.ack == "running",
+        subscribe: info.discovery == "ask",
+        lists_free: fam.lists_free,
+        reports: match info.report.via.as_str() {
+            "answers" => Reports::Answers,
+            "probe" => Reports::Probes,
+            _ => Reports::None,
+        },
+        reports_use: fam.measured_by == "used",
+        probes: limits.probes,
+        max_attempts: limits.max_attempts,
+        max_retry_after: if limits.retry_after { limits.max_retry_after_s } else { 0.0 },
+        over_share_worth: info.over_share_worth,
+        safety: Safety {
+            answer_slack: safety.answer_slack_s,
+            ask_within: safety.ask_within_s,
+            cold_from: safety.cold_from,
+            cold: safety.cold_s,
+            cold_bears: fam.cold_bears,
+            drain_grace: safety.drain_grace_s,
+            fall_multiple: safety.fall_multiple,
+            overload_for: safety.overload_for_s,
+        },
+        prices: Prices {
+            machines: tariffs.fleet,
+            refused: fam.refused_price,
+            moves: tariffs.moves,
+            eviction_as_moves: fam.eviction_as_moves,
+            probe: tariffs.probe,
+            message: tariffs.peer,
+        },
+    })
+}
+
+fn report_of(values: BTreeMap<String, f64>) -> Report {
+    let get = |name: &str| values.get(name).copied().filter(|v| v.is_finite());
+    Report { free_cores: get("x0"), free_memory: get("x1"), waiting: get("q"), busy: get("busy") }
+}
+
+fn ending_of(result: &str, remark: u32) -> Result<Ending, String> {
+    let why = match remark {
+        1 => Why::Cores,
+        2 => Why::Memory,
+        3 => Why::Queue,
+        4 => Why::NotHere,
+        5 => Why::Evicted,
+        6 => Why::PushedOut,
+        7 => Why::SentAway,
+        _ => Why::Unknown,
+    };
+    Ok(match result {
+        "GOOD" => Ending::Finished,
+        "BAD" => Ending::Failed,
+        "FULL" => Ending::Full(why),
+        "LATE" => Ending::Late,
+        "NOCONN" => Ending::NoConnection,
+        "RST" => Ending::Broken(why),
+        "CXL" => Ending::Cancelled,
+        "NOP" => Ending::Void,
+        other => return Err(format!("an outcome was expected (GOOD, BAD, FULL, ...), not {other:?}")),
+    })
+}
+
+/// Numbers for the texts of one instance, in the order in which they were met.
+#[derive(Default)]
+struct Names {
+    numbers: HashMap<String, u64>,
+    texts: Vec<String>,
+}
+
+impl Names {
+    fn number(&mut self, text: &str) -> u64 {
+        if let Some(&n) = self.numbers.get(text) {
+            return n;
+        }
+        let n = self.texts.len() as u64;
+        self.numbers.insert(text.to_owned(), n);
+        self.texts.push(text.to_owned());
+        n
+    }
+    fn machine(&mut self, text: &str) -> MachineId {
+        MachineId(self.number(text) as u32)
+    }
+}
+
+struct Instance {
+    name: String,
+    scheduler: Scheduler,
+    tickets: Names,
+    machines: Names,
+    services: Names,
+    events: Vec<Event>,
+}
+
+impl Instance {
+    fn task(&mut self, w: &WireTask, in_place: bool) -> Result<Task, String> {
+        let (class, service) = if in_place {
+            (w.class.ok_or("`class` was expected in InPlace")?, w.service.as_str())
+        } else {
+            let class = w.service.as_u64().ok_or("`service` of Submit must be a whole number")?;
+            (class as usize, w.app.as_deref())
+        };
+        let service = service.ok_or("the name of the service was expected as a text")?;
+        Ok(Task {
+            id: TaskId(self.tickets.number(&w.ticket)),
+            class,
+            tenant: w.party,
+            service: ServiceId(self.services.number(service) as u32),
+            deadline: w.deadline_s.unwrap_or(f64::INFINITY),
+            life: w.life_s,
+            cores: w.cpu_ask,
+            memory: w.mem_needed,
+            returned: w.returned,
+        })
+    }
+
+    fn entries(&mut self, members: &[Member]) -> Result<Vec<Entry>, String> {
+        let entry = |m: &Member| {
+            Ok(Entry {
+                machine: self.machines.machine(&m.machine),
+                kind: m.kind,
+                cell: m.block,
+                zone: m.region_part,
+                standing: match m.health.as_str() {
+                    "Ready" => Standing::Ready,
+                    "Terminating" => Standing::Draining,
+                    "Gone" => Standing::Gone,
+                    other => return Err(format!("health {other:?} is not known")),
+                },
+                up_since: m.up_since_s.filter(|&t| t > 0.0),
+                free_cores: m.cores_free,
+                free_memory: m.memory_free,
+            })
+        };
+        members.iter().map(entry).collect()
+    }
+
+    fn write(&self, action: Action) -> Value {
+        let who = &self.name;
+        let ticket = |id: TaskId| &self.tickets.texts[id.0 as usize];
+        let machine = |id: MachineId| &self.machines.texts[id.0 as usize];
+        match action {
+            Action::Send { task, machine: m, wait } => {
+                json!({"Place": {"schedulerId": who, "ticket": ticket(task), "machine": machine(m), "tryForS": wait}})
+            }
+            Action::Refuse { task, retry_in } => {
+                json!({"Decline": {"schedulerId": who, "ticket": ticket(task), "retryInS": retry_in}})
+            }
+            Action::Fail(task) => json!({"Error": {"schedulerId": who, "ticket": ticket(task)}}),
+            Action::Move(task) => json!({"Relocate": {"schedulerId": who, "ticket": ticket(task)}}),
+            Action::Subscribe => json!({"Watch": {"schedulerId": who, "active": true}}),
+            Action::Timer { after, token } => {
+                json!({"Schedule": {"schedulerId": who, "inS": after, "token": token}})
+            }
+            Action::Probe(m) => json!({"Check": {"schedulerId": who, "machine": machine(m)}}),
+            Action::Log(what) => json!({"WriteLog": {"schedulerId": who, "what": what}}),
+        }
+    }
+}
+
+/// All instances that one process hosts. They share the numbered lists of machines and nothing else.
+#[derive(Default)]
+pub struct Host {
+    pages: BTreeMap<u32, Vec<Member>>,
+    instances: BTreeMap<String, Instance>,
+}
+
+impl Host {
+    /// Answers one line of input. `Ok(None)` never happens for a whole batch; an error is told in plain words.
+    pub fn line(&mut self, text: &str) -> Result<Option<String>, String> {
+        let batch: Batch = serde_json::from_str(text)
+            .map_err(|e| format!("a batch with `atTimeS` and `arrivals` was expected: {e}"))?;
+        if !batch.at_time_s.is_finite() {
+            return Err("`atTimeS` must be a number of seconds".to_owned());
+        }
+        let now = batch.at_time_s;
+        let mut todo = Vec::new();
+        let mut order: Vec<String> = Vec::new();
+        for arrival in batch.arrivals {
+            if let Some(name) = self.take(now, arrival, &mut todo)? {
+                if !order.contains(&name) {
+                    order.push(name);
+                }
+            }
+        }
+        for name in order {
+            self.run(now, &name, &mut todo);
+        }
+        Ok(Some(json!({ "do": todo }).to_string()))
+    }
+
+    fn run(&mut self, now: f64, name: &str, todo: &mut Vec<Value>) {
+        let Some(instance) = self.instances.get_mut(name) else { return };
+        let events = std::mem::take(&mut instance.events);
+        let mut actions = Vec::new();
+        let done = catch_unwind(AssertUnwindSafe(|| instance.scheduler.step(now, events, &mut actions)));
+        if done.is_err() {
+            todo.push(json!({"Panic": {"schedulerId": name, "what": "the decision module panicked"}}));
+            return;
+        }
+        todo.extend(actions.into_iter().map(|a| instance.write(a)));
+    }
+
+    fn take(&mut self, now: f64, arrival: Arrival, todo: &mut Vec<Value>) -> Result<Option<String>, String> {
+        let (name, event) = match arrival {
+            Arrival::Page { page, members } => {
+                self.pages.insert(page, members);
+                return Ok(None);
+            }
+            Arrival::Start(start) => {
+                let made = settings_of(start.info)
+                    .and_then(|set| Scheduler::new(set, start.salt).map_err(|e| e.to_string()));
+                match made {
+                    Ok(scheduler) => {
+                        let name = start.scheduler_id;
+                        let instance = Instance {
+                            name: name.clone(),
+                            scheduler,
+                            tickets: Names::default(),
+                            machines: Names::default(),
+                            services: Names::default(),
+                            events: Vec::new(),
+                        };
+                        self.instances.insert(name.clone(), instance);
+                        return Ok(Some(name));
+                    }
+                    Err(what) => {
+                        todo.push(json!({"Panic": {"schedulerId": start.scheduler_id, "what": what}}));
+                        return Ok(None);
+                    }
+                }
+            }
+            Arrival::Exit(of) => {
+                self.run(now, &of.scheduler_id, &mut Vec::new());
+                self.instances.remove(&of.scheduler_id);
+                return Ok(None);
+            }
+            Arrival::PeersKnown(known) => {
+                let Some(instance) = self.instances.get_mut(&known.scheduler_id) else { return Ok(None) };
+                let mut list = || {
+                    let page = self.pages.get(&known.page);
+                    instance.entries(page.ok_or_else(|| format!("page {} was never sent", known.page))?)
+                };
+                let event = match known.kind.as_str() {
+                    "update" => Event::ListChanges(list()?),
+                    "replace" | "restored" => Event::ListWhole(list()?),
+                    "unavailable" => Event::ListFailed,
+                    other => return Err(format!("PeersKnown of kind {other:?} is not known")),
+                };
+                (known.scheduler_id, event)
+            }
+            Arrival::Submit(task) => {
+                let Some(instance) = self.instances.get_mut(&task.scheduler_id) else { return Ok(None) };
+                let event = Event::Submit(instance.task(&task, false)?);
+                (task.scheduler_id, event)
+            }
+            Arrival::InPlace(task) => {
+                let Some(instance) = self.instances.get_mut(&task.scheduler_id) else { return Ok(None) };
+                let machine = task.machine.as_deref().ok_or("`machine` was expected in InPlace")?;
+                let machine = instance.machines.machine(machine);
+                let event = Event::InPlace(instance.task(&task, true)?, machine);
+                (task.scheduler_id, event)
+            }
+            Arrival::Confirmed(of) => {
+                self.attempt(of, |task, of| Ok(Some(Event::Confirmed { task, attempt: of.copy })))?
+            }
+            Arrival::UpdateOf(of) => self.attempt(of, |task, of| {
+                let note = match of.sort {
+                    1 => Note::Runs,
+                    2 => Note::UsesCores(of.level),
+                    3 => Note::UsesMemory(of.level),
+                    4 => Note::Served(of.level),
+                    5 => Note::MachineMemory(of.level),
+                    _ => return Ok(None),
+                };
+                Ok(Some(Event::Note { task, note }))
+            })?,
+            Arrival::ClosedAttempt(of) => self.attempt(of, |task, of| {
+                Ok(Some(Event::Outcome {
+                    task,
+                    attempt: of.copy,
+                    ending: ending_of(&of.result, of.remark)?,
+                    closed: of.done_flag,
+                    report: of.report.take().map(report_of),
+                }))
+            })?,
+            Arrival::Vanished(of) => {
+                let Some(instance) = self.instances.get_mut(&of.scheduler_id) else { return Ok(None) };
+                let event = Event::Dropped(TaskId(instance.tickets.number(&of.ticket)));
+                (of.scheduler_id, event)
+            }
+            Arrival::Reminder(of) => (of.scheduler_id, Event::Timer(of.token)),
+            Arrival::Echo(of) => {
+                let Some(instance) = self.instances.get_mut(&of.scheduler_id) else { return Ok(None) };
+                let report = (of.result == "GOOD").then(|| of.report.map(report_of).unwrap_or_default());
+                let event = Event::Probed { machine: instance.machines.machine(&of.machine), report };
+                (of.scheduler_id, event)
+            }
+            Arrival::Heard(_) => return Ok(None),
+        };
+        let Some(instance) = self.instances.get_mut(&name) else { return Ok(None) };
+        instance.events.push(event);
+        Ok(Some(name))
+    }
+
+    fn attempt(
+        &mut self,
+        mut of: Attempt,
+        event: impl Fn(TaskId, &mut Attempt) -> Result<Option<Event>, String>,
+    ) -> Result<(String, Event), String> {
+        let number = self.instances.get_mut(&of.scheduler_id).map_or(0, |i| i.tickets.number(&of.ticket));
+        // A note of a kind not known is passed on as nothing: a timer that nobody asked for.
+        let event = event(TaskId(number), &mut of)?.unwrap_or(Event::Timer(0));
+        Ok((of.scheduler_id, event))
+    }
+}
