--- a/src/wire.rs
+++ b/src/wire.rs
@@ -492,10 +492,10 @@
         let mut todo = Vec::new();
         let mut order: Vec<String> = Vec::new();
         for arrival in batch.arrivals {
-            if let Some(name) = self.take(now, arrival, &mut todo)? {
-                if !order.contains(&name) {
-                    order.push(name);
-                }
+            if let Some(name) = self.take(now, arrival, &mut todo)?
+                && !order.contains(&name)
+            {
+                order.push(name);
             }
         }
         for name in order {
