--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,6 +48,10 @@
 const ASIDE_MOST: Seconds = 8.0;
 /// A refusal tells that a machine is full for about this long.
 const FULL_FOR: Seconds = 0.5;
+/// And for at most this long when it goes on refusing.
+const FULL_MOST: Seconds = 4.0;
+/// Offers that may be in line at a machine before its line was ever seen full.
+const LINE: f64 = 6.0;
 /// Final answers that nothing forces earlier go out this long before the deadline.
 const LEEWAY: Seconds = 0.03;
 /// Held tasks are looked at again at least this often.
@@ -115,6 +119,9 @@
     strikes: i32,
     aside_until: Seconds,
     full_until: Seconds,
+    refusals: i32,
+    /// Offers that may wait there for an answer, learned from refusals.
+    line: f64,
     offers: VecDeque<Seconds>,
     programs: VecDeque<ServiceId>,
     report_at: Seconds,
@@ -274,6 +281,8 @@
                 let wait = now - job.sent_at;
                 if let Some(m) = self.machines.get_mut(&job.machine) {
                     m.unanswered.remove(&task);
+                    m.refusals = 0;
+                    m.line += 1.0 / m.line;
                     m.fail *= 1.0 - QUICK;
                 }
                 if running {
@@ -382,9 +391,17 @@
         let m = self.machines.entry(machine).or_default();
         match ending {
             Ending::Finished | Ending::Cancelled | Ending::Void => {}
-            Ending::Full(Why::Queue) => m.full_until = now + FULL_FOR / 2.0,
-            Ending::Full(_) => m.full_until = now + FULL_FOR,
-            Ending::Broken(Why::SentAway) => m.full_until = now + VIEW_LAG,
+            // The line is shared with others: go down to what stood there, less a part; answers raise it.
+            Ending::Full(Why::Queue) => {
+                m.line = (0.7 * (m.unanswered.len() as f64 + 1.0)).min(m.line).max(1.0);
+                m.full_until = now + FULL_FOR / 10.0;
+            }
+            // Any other refusal holds a while, longer when it goes on: full, leaving before the list tells,
+            // or refusing for a reason that nobody names. Harm: a machine that has room again waits.
+            Ending::Full(_) | Ending::Broken(Why::SentAway) => {
+                m.full_until = now + (FULL_FOR * 2f64.powi(m.refusals)).min(FULL_MOST);
+                m.refusals = (m.refusals + 1).min(8);
+            }
             Ending::Broken(Why::Evicted | Why::PushedOut) => m.full_until = now + FULL_FOR,
             // Failures of any kind, before or after the confirmation: the machine may be dead, silent, cut
             // off or returning errors; what matters is the share of them. Harm: an error of the task itself
@@ -447,6 +464,7 @@
         }
         for e in list {
             let m = self.machines.entry(e.machine).or_default();
+            m.line = if m.listed { m.line } else { LINE };
             let Some(kind) = self.set.kinds.get(e.kind) else { continue };
             (m.cores, m.memory) = (kind.cores, kind.memory);
             (m.listed, m.kind, m.cell, m.zone) = (true, e.kind, e.cell, e.zone);
@@ -483,7 +501,10 @@
             m.unanswered.insert(id, now);
             m.starting.insert(id, (now, m.start_work));
         } else {
+            // The list that came before told of this task among all others.
             m.lagged = m.own;
+            m.others[0] = (m.others[0] - job.task.cores).max(0.0);
+            m.others[1] = (m.others[1] - job.task.memory).max(0.0);
         }
     }
 
@@ -629,6 +650,7 @@
             .filter(|&(mid, m)| self.gate(now, job, mid, m) && self.fits(now, job, m))
             // A machine set aside gets nothing, then one task at a time until one has started.
             .filter(|(_, m)| now >= m.aside_until && (m.fail < SICK || m.starting.is_empty()))
+            .filter(|(_, m)| (m.unanswered.len() as f64) < m.line)
             .collect();
         let silent = (SILENT * self.answer).max(SILENT_MIN);
         narrow(&mut found, |(mid, _)| !job.tried.contains(mid));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -19,7 +19,7 @@
 #[derive(Deserialize)]
 enum Arrival {
     Page { page: u32, members: Vec<Member> },
-    Start(Start),
+    Start(Box<Start>),
     Exit(Bare),
     PeersKnown(PeersKnown),
     Submit(WireTask),
