--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,7 @@
 
 /// Dice: backlog a lane plus work under this many mean works is short; the paper's six average jobs.
 const THRESHOLD: f64 = 6.0;
-/// Dice: backlogs within this many mean works of the best are alike, so that schedulers don't hit one machine.
+/// Dice: backlogs within this many mean works of the best are alike, so schedulers don't hit one machine.
 const MARGIN: f64 = 0.15;
 /// Dice: longer work looks at this many machines with room.
 const FEW: usize = 4;
@@ -22,11 +22,15 @@
 const USE_CORES: f64 = 0.6;
 const USE_MEMORY: f64 = 0.75;
 /// Memory in use is planned up to this share: machines slow down and evict above.
-const MEMORY_FULL: f64 = 0.88;
+const MEMORY_FULL: f64 = 0.85;
 /// Cores in use are planned up to this share of a class's calm, as use swings.
-const CORES_FULL: f64 = 0.92;
-/// A task that waited its whole aim may go this far into the fade of its class.
-const STRETCH: f64 = 0.35;
+const CORES_FULL: f64 = 0.85;
+/// Where no machine has room in comfort, the least crowded may go this far into the fade of the class, and
+/// this full of memory: a crowded start is worth more than none.
+const STRETCH: f64 = 0.7;
+const MEMORY_MOST: f64 = 0.96;
+/// Then machines crowded within this of the least count as alike.
+const CROWD: f64 = 0.05;
 /// Admission is planned up to this share of the machine's limit: views are late and a refusal costs.
 const ADMIT_FULL: f64 = 0.97;
 /// A start without the program is taken as this many starts with it until both were seen.
@@ -623,15 +627,19 @@
         unit * (m.start_work + if warm { 1.0 } else { self.setup() })
     }
 
-    /// Whether the machine has room: within its admission, and within what it can serve well.
-    fn fits(&self, now: Seconds, job: &Job, m: &Machine) -> bool {
+    /// Whether the machine would admit the task, and how crowded that would leave it: up to 1 all are served
+    /// well, above 1 the task lacks cores or memory; `None` where it should not be offered at all.
+    fn crowding(&self, now: Seconds, job: &Job, m: &Machine) -> Option<f64> {
         let (class, task) = (&self.set.classes[job.task.class], &job.task);
-        let waited = ((now - job.since) / class.aim.max(0.01)).clamp(0.0, 1.0);
         let use_of = |i: usize| m.used[i].unwrap_or(self.used[i]).max(0.05);
-        let calm = class.calm * CORES_FULL + STRETCH * class.fade * waited;
-        let cores = (self.set.admit_cores * ADMIT_FULL).min(calm / use_of(0)) * m.cores;
-        let memory = (self.set.admit_memory * ADMIT_FULL).min(MEMORY_FULL / use_of(1)) * m.memory;
-        now >= m.full_until && m.asked(0) + task.cores <= cores && m.asked(1) + task.memory <= memory
+        let asked = [(m.asked(0) + task.cores) / m.cores, (m.asked(1) + task.memory) / m.memory];
+        let used = [asked[0] * use_of(0), asked[1] * use_of(1)];
+        let admitted = asked[0] <= self.set.admit_cores * ADMIT_FULL
+            && asked[1] <= self.set.admit_memory * ADMIT_FULL
+            && used[0] <= class.calm + STRETCH * class.fade
+            && used[1] <= MEMORY_MOST;
+        (now >= m.full_until && admitted)
+            .then(|| (used[0] / (class.calm * CORES_FULL).max(0.01)).max(used[1] / MEMORY_FULL))
     }
 
     fn backlog(&self, now: Seconds, m: &Machine) -> f64 {
@@ -643,33 +651,35 @@
 
     fn pick(&mut self, now: Seconds, id: TaskId) -> Option<MachineId> {
         let job = &self.jobs[&id];
-        let mut found: Vec<(MachineId, &Machine)> = self
+        let mut found: Vec<(MachineId, &Machine, f64)> = self
             .machines
             .iter()
-            .map(|(&mid, m)| (mid, m))
-            .filter(|&(mid, m)| self.gate(now, job, mid, m) && self.fits(now, job, m))
+            .filter(|&(&mid, m)| self.gate(now, job, mid, m))
+            .filter_map(|(&mid, m)| Some((mid, m, self.crowding(now, job, m)?)))
             // A machine set aside gets nothing, then one task at a time until one has started.
-            .filter(|(_, m)| now >= m.aside_until && (m.fail < SICK || m.starting.is_empty()))
-            .filter(|(_, m)| (m.unanswered.len() as f64) < m.line)
+            .filter(|(_, m, _)| now >= m.aside_until && (m.fail < SICK || m.starting.is_empty()))
+            .filter(|(_, m, _)| (m.unanswered.len() as f64) < m.line)
             .collect();
         let silent = (SILENT * self.answer).max(SILENT_MIN);
-        narrow(&mut found, |(mid, _)| !job.tried.contains(mid));
-        narrow(&mut found, |(_, m)| m.unanswered.values().next().is_none_or(|at| now - at < silent));
+        narrow(&mut found, |(mid, ..)| !job.tried.contains(mid));
+        narrow(&mut found, |(_, m, _)| m.unanswered.values().next().is_none_or(|at| now - at < silent));
+        let least = found.iter().map(|f| f.2).fold(f64::INFINITY, f64::min);
+        narrow(&mut found, |f| f.2 <= 1f64.max(least + CROWD));
         if self.set.prices.machines > 0.0 {
-            narrow(&mut found, |(_, m)| m.asked(0) > 0.0);
+            narrow(&mut found, |(_, m, _)| m.asked(0) > 0.0);
         }
         let soonest =
-            found.iter().map(|&(mid, m)| self.start_in(now, job, mid, m)).fold(f64::INFINITY, f64::min);
+            found.iter().map(|&(mid, m, _)| self.start_in(now, job, mid, m)).fold(f64::INFINITY, f64::min);
         let aim = self.set.classes[job.task.class].aim * IN_TIME;
-        narrow(&mut found, |&(mid, m)| self.start_in(now, job, mid, m) <= aim.max(soonest * 1.25));
+        narrow(&mut found, |&(mid, m, _)| self.start_in(now, job, mid, m) <= aim.max(soonest * 1.25));
         if found.is_empty() {
             return None;
         }
-        let known: Vec<f64> = found.iter().map(|(_, m)| self.backlog(now, m)).collect();
+        let known: Vec<f64> = found.iter().map(|(_, m, _)| self.backlog(now, m)).collect();
         let mean = known.iter().sum::<f64>() / known.len() as f64;
         let new = |m: &Machine| m.tasks == 0 || self.cold(m, now);
         let backlogs: Vec<f64> =
-            found.iter().zip(&known).map(|((_, m), &b)| if new(m) { mean } else { b }).collect();
+            found.iter().zip(&known).map(|((_, m, _), &b)| if new(m) { mean } else { b }).collect();
         let work = job.task.life.map_or(self.mean_work, |life| life * job.task.cores);
         let ids: Vec<MachineId> = found.iter().map(|f| f.0).collect();
         Some(ids[dice(&backlogs, work, self.mean_work, &mut self.rng)])
