--- a/src/choice.rs
+++ b/src/choice.rs
@@ -83,7 +83,6 @@
     task: Task,
     state: State,
     sends: u32,
-    since: Seconds,
     sent_at: Seconds,
     machine: MachineId,
     tried: Vec<MachineId>,
@@ -405,6 +404,9 @@
             Ending::Full(_) | Ending::Broken(Why::SentAway) => {
                 m.full_until = now + (FULL_FOR * 2f64.powi(m.refusals)).min(FULL_MOST);
                 m.refusals = (m.refusals + 1).min(8);
+                if m.refusals > 1 {
+                    m.line = 1.0;
+                }
             }
             Ending::Broken(Why::Evicted | Why::PushedOut) => m.full_until = now + FULL_FOR,
             // Failures of any kind, before or after the confirmation: the machine may be dead, silent, cut
@@ -795,7 +797,6 @@
             task,
             state: State::Held,
             sends: 0,
-            since: now,
             sent_at: now,
             machine,
             tried: Vec::new(),
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,182 @@
+//! Scripted events: one test for each rule, each outcome by effect, and each failure that was found.
+
+mod common;
+use common::*;
+use tidespur::interface::*;
+
+const KEYED: Effect = Effect::Keyed { group: Place::Cell, window: 3.0 };
+
+fn fleet(n: u32) -> Event {
+    Event::ListWhole((0..n).map(entry).collect())
+}
+
+#[test]
+fn no_task_is_lost_without_machines() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    assert!(sends(&w.step(1.0, vec![Event::Submit(task(1, 0, 3.0))])).is_empty());
+    let actions = w.step(2.98, vec![Event::Timer(0)]);
+    assert!(matches!(actions[0], Action::Refuse { .. }), "{actions:?}");
+}
+
+#[test]
+fn held_tasks_ask_for_a_timer_before_their_deadline() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    let actions = w.step(1.0, vec![Event::Submit(task(1, 0, 1.04))]);
+    assert!(actions.iter().any(|a| matches!(a, Action::Timer { after, .. } if *after < 0.04)));
+}
+
+#[test]
+fn outcomes_by_effect() {
+    use Ending::*;
+    // After each ending: is the task sent again, refused, or failed?
+    let (again, failed) = ("sent", "failed");
+    for (effect, ending, then) in [
+        (Effect::Safe, Full(Why::Queue), again),
+        (Effect::Safe, Late, again),
+        (Effect::Safe, Failed, again),
+        (Effect::Safe, Broken(Why::Unknown), again),
+        (Effect::Safe, NoConnection, again),
+        (KEYED, Full(Why::Cores), again),
+        (KEYED, Late, again),
+        (KEYED, Failed, again),
+        (KEYED, Broken(Why::Unknown), again),
+        (KEYED, NoConnection, again),
+        (Effect::Unsafe, Full(Why::Memory), again),
+        (Effect::Unsafe, NoConnection, again),
+        (Effect::Unsafe, Void, again),
+        (Effect::Unsafe, Late, failed),
+        (Effect::Unsafe, Failed, failed),
+        (Effect::Unsafe, Cancelled, failed),
+        (Effect::Unsafe, Broken(Why::Unknown), failed),
+    ] {
+        let mut w = Watched::new(settings(vec![class(effect)]), 1);
+        let first = w.step(1.0, vec![fleet(8), Event::Submit(task(1, 0, 7.0))]);
+        assert_eq!(sends(&first).len(), 1);
+        let then_done = w.step(1.5, vec![outcome(1, 0, ending)]);
+        let did = match &then_done[..] {
+            [Action::Send { .. }, ..] => "sent",
+            [Action::Fail(_), ..] => "failed",
+            other => panic!("{effect:?} after {ending:?}: {other:?}"),
+        };
+        assert_eq!(did, then, "{effect:?} after {ending:?}");
+    }
+}
+
+#[test]
+fn a_keyed_task_is_not_sent_again_after_its_window() {
+    let mut w = Watched::new(settings(vec![class(KEYED)]), 1);
+    w.step(1.0, vec![fleet(8), Event::Submit(task(1, 0, 7.0))]);
+    let actions = w.step(4.5, vec![outcome(1, 0, Ending::Late)]);
+    assert!(matches!(actions[0], Action::Fail(_)), "{actions:?}");
+}
+
+#[test]
+fn a_drain_learned_in_this_step_binds_its_sends() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    w.step(1.0, vec![fleet(2)]);
+    let leaving = Entry { standing: Standing::Draining, ..entry(0) };
+    let mut events: Vec<Event> = (0..6).map(|i| Event::Submit(task(i, 0, 9.0))).collect();
+    events.push(Event::ListChanges(vec![leaving]));
+    let sent = sends(&w.step(2.0, events));
+    assert!(!sent.is_empty() && sent.iter().all(|s| s.1 == MachineId(1)), "{sent:?}");
+}
+
+#[test]
+fn a_cold_machine_gets_its_budget_and_no_more() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    w.step(100.0, vec![Event::ListWhole(vec![Entry { up_since: Some(99.0), ..entry(0) }])]);
+    let sent = sends(&w.step(100.1, (0..40).map(|i| Event::Submit(task(i, 0, 109.0))).collect()));
+    assert_eq!(sent.len(), 4);
+}
+
+#[test]
+fn spread_counts_tasks_in_place_and_attempts() {
+    let spread = Class { spread: Some(Place::Cell), spread_most: 2, ..class(Effect::Safe) };
+    let mut w = Watched::new(settings(vec![spread]), 1);
+    let same = |id| Task { service: ServiceId(7), ..task(id, 0, 9.0) };
+    w.step(1.0, vec![fleet(4), Event::InPlace(same(1), MachineId(0))]);
+    let sent = sends(&w.step(1.1, (2..6).map(|i| Event::Submit(same(i))).collect()));
+    assert_eq!(sent.len(), 1);
+}
+
+/// A list that came before the tasks in place told of them too: counted twice, nothing fitted.
+#[test]
+fn tasks_in_place_are_not_counted_twice() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    let full = Entry { free_cores: 2.0, free_memory: 4.0, ..entry(0) };
+    let mut events = vec![Event::ListWhole(vec![full])];
+    events.extend((0..30).map(|i| Event::InPlace(task(i, 0, 1.0), MachineId(0))));
+    w.step(1.0, events);
+    assert_eq!(sends(&w.step(1.1, vec![Event::Submit(task(50, 0, 7.0))])).len(), 1);
+}
+
+/// A machine that turns everything away, for whatever reason, is asked ever more rarely.
+#[test]
+fn a_machine_that_goes_on_refusing_is_asked_rarely() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    w.step(1.0, vec![fleet(1)]);
+    let (mut now, mut offers) = (1.0, 0);
+    for id in 0..200 {
+        now += 0.1;
+        let mut events = vec![Event::Submit(task(id, 0, now + 1.0))];
+        loop {
+            let sent = sends(&w.step(now, std::mem::take(&mut events)));
+            if sent.is_empty() {
+                break;
+            }
+            offers += sent.len();
+            for (id, _) in sent {
+                let attempt = w.tasks[&id].attempts.len() as u32 - 1;
+                events.push(outcome(id.0, attempt, Ending::Full(Why::NotHere)));
+            }
+        }
+    }
+    assert!((3..20).contains(&offers), "{offers} offers in 20 s");
+}
+
+/// A burst must not overrun the line of offers of one machine.
+#[test]
+fn a_burst_waits_for_the_line_of_a_machine() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    let mut events = vec![fleet(1)];
+    events.extend((0..40).map(|i| Event::Submit(task(i, 0, 7.0))));
+    let first = sends(&w.step(1.0, events)).len();
+    assert!((1..=8).contains(&first), "{first} offers at once");
+    let more = w.step(1.1, vec![Event::Confirmed { task: TaskId(0), attempt: 0 }]);
+    assert!(!sends(&more).is_empty());
+}
+
+#[test]
+fn settings_that_make_no_sense_are_named() {
+    use tidespur::Scheduler;
+    let field = |set: Settings| Scheduler::new(set, 1).unwrap_err().field;
+    assert_eq!(field(settings(vec![])), "classes");
+    assert_eq!(field(settings(vec![Class { aim: -1.0, ..class(Effect::Safe) }])), "classes");
+    let mut set = settings(vec![class(Effect::Safe)]);
+    set.safety.cold = f64::NAN;
+    assert_eq!(field(set), "safety");
+    let mut set = settings(vec![class(Effect::Safe)]);
+    set.kinds.clear();
+    assert_eq!(field(set), "kinds");
+}
+
+/// Legal oddities: nothing panics, and what is owed is answered.
+#[test]
+fn oddities_are_borne() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    w.step(1.0, vec![Event::ListWhole(vec![]), Event::Dropped(TaskId(9)), Event::Timer(3), Event::Timer(3)]);
+    let huge = Task { cores: 1e9, ..task(1, 0, 3.0) };
+    let passed = task(2, 0, 0.5);
+    let brief = Task { life: Some(0.0), ..task(3, 0, f64::INFINITY) };
+    let odd = vec![fleet(2), Event::Submit(huge), Event::Submit(passed), Event::Submit(brief)];
+    let actions = {
+        let mut out = Vec::new();
+        w.scheduler.step(1.1, odd, &mut out);
+        out
+    };
+    assert!(actions.contains(&Action::Refuse { task: TaskId(2), retry_in: 0.0 }));
+    assert_eq!(sends(&actions).len(), 1);
+    let mut out = Vec::new();
+    w.scheduler.step(2.98, vec![Event::Timer(0)], &mut out);
+    assert!(out.contains(&Action::Refuse { task: TaskId(1), retry_in: 0.0 }));
+}
