--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,6 +35,10 @@
 const ADMIT_FULL: f64 = 0.97;
 /// A start without the program is taken as this many starts with it until both were seen.
 const SETUP: f64 = 6.0;
+/// Machines that all schedulers take for the homes of a service, by a hash, where no program is known.
+const HOMES: usize = 2;
+/// A home is taken to hold the program with this chance.
+const AT_HOME: f64 = 0.9;
 /// Seconds of one warm start before any was seen.
 const START: f64 = 0.2;
 /// Programs that a machine is trusted to keep after their last task of ours.
@@ -261,7 +265,7 @@
                 }
                 self.learn_task(now, &task);
                 self.held.push(task.id);
-                self.jobs.insert(task.id, Job::new(task, now, MachineId(u32::MAX)));
+                self.jobs.insert(task.id, Job::new(task, now, MachineId(u64::MAX)));
             }
             Event::InPlace(task, machine) => {
                 if self.jobs.contains_key(&task.id) {
@@ -596,7 +600,7 @@
         let Some(place) = class.spread else { return true };
         let there: u32 = self
             .spread
-            .range((job.task.service, MachineId(0))..=(job.task.service, MachineId(u32::MAX)))
+            .range((job.task.service, MachineId(0))..=(job.task.service, MachineId(u64::MAX)))
             .filter(|((_, other), _)| self.same_place(place, id, m, *other))
             .map(|(_, n)| n)
             .sum();
@@ -621,12 +625,13 @@
     }
 
     /// How long until the task would run there, from the pace of starts seen there.
-    fn start_in(&self, now: Seconds, job: &Job, id: MachineId, m: &Machine) -> Seconds {
+    fn start_in(&self, now: Seconds, job: &Job, id: MachineId, m: &Machine, home: bool) -> Seconds {
         let warm =
             m.programs.contains(&job.task.service) || self.spread.contains_key(&(job.task.service, id));
         let unit = m.unit.or(self.starts[0]).unwrap_or(START);
         let unit = m.starting.values().next().map_or(unit, |&(at, work)| unit.max((now - at) / work));
-        unit * (m.start_work + if warm { 1.0 } else { self.setup() })
+        let cold = if home { 1.0 + (1.0 - AT_HOME) * (self.setup() - 1.0) } else { self.setup() };
+        unit * (m.start_work + if warm { 1.0 } else { cold })
     }
 
     /// Whether the machine would admit the task, and how crowded that would leave it: up to 1 all are served
@@ -670,10 +675,18 @@
         if self.set.prices.machines > 0.0 {
             narrow(&mut found, |(_, m, _)| m.asked(0) > 0.0);
         }
-        let soonest =
-            found.iter().map(|&(mid, m, _)| self.start_in(now, job, mid, m)).fold(f64::INFINITY, f64::min);
+        // Other schedulers' programs are not seen: all prefer the same few machines for a service. Where a home
+        // is crowded, silent or barred the next one in the order takes its place. Harm: a popular service fills
+        // its homes first.
+        let mut ranks: Vec<u64> = found.iter().map(|f| rank(job.task.service, f.0)).collect();
+        ranks.sort_unstable();
+        let home = ranks.get(HOMES - 1).copied().unwrap_or(u64::MAX);
+        let start = |f: &(MachineId, &Machine, f64)| {
+            self.start_in(now, job, f.0, f.1, rank(job.task.service, f.0) <= home)
+        };
+        let soonest = found.iter().map(start).fold(f64::INFINITY, f64::min);
         let aim = self.set.classes[job.task.class].aim * IN_TIME;
-        narrow(&mut found, |&(mid, m, _)| self.start_in(now, job, mid, m) <= aim.max(soonest * 1.25));
+        narrow(&mut found, |f| start(f) <= aim.max(soonest * 1.25));
         if found.is_empty() {
             return None;
         }
@@ -808,6 +821,12 @@
     }
 }
 
+/// The place of a machine in a service's order of homes: the same at every scheduler.
+fn rank(service: ServiceId, machine: MachineId) -> u64 {
+    let x = (service.0 ^ machine.0.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93)
+}
+
 /// Keeps what `good` likes, or all if it likes nothing.
 fn narrow<T>(found: &mut Vec<T>, good: impl Fn(&T) -> bool) {
     if found.iter().any(&good) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,13 +10,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId(pub u64);
 
-/// A machine. It keeps its id over restarts.
+/// A machine. It keeps its id over restarts, and all schedulers are given the same id for it: such as a hash of
+/// its address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct MachineId(pub u32);
+pub struct MachineId(pub u64);
 
-/// The service that a task belongs to.
+/// The service that a task belongs to; all schedulers are given the same id for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServiceId(pub u32);
+pub struct ServiceId(pub u64);
 
 /// The machines that a group or a spread rule speaks of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -393,17 +393,18 @@
         self.texts.push(text.to_owned());
         n
     }
-    fn machine(&mut self, text: &str) -> MachineId {
-        MachineId(self.number(text) as u32)
-    }
+}
+
+/// FNV-1a: the same number for a text at every instance.
+fn hash(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
 struct Instance {
     name: String,
     scheduler: Scheduler,
     tickets: Names,
-    machines: Names,
-    services: Names,
+    machines: BTreeMap<MachineId, String>,
     events: Vec<Event>,
 }
 
@@ -420,7 +421,7 @@
             id: TaskId(self.tickets.number(&w.ticket)),
             class,
             tenant: w.party,
-            service: ServiceId(self.services.number(service) as u32),
+            service: ServiceId(hash(service)),
             deadline: w.deadline_s.unwrap_or(f64::INFINITY),
             life: w.life_s,
             cores: w.cpu_ask,
@@ -429,10 +430,18 @@
         })
     }
 
+    fn machine(&mut self, text: &str) -> MachineId {
+        let id = MachineId(hash(text));
+        if !self.machines.contains_key(&id) {
+            self.machines.insert(id, text.to_owned());
+        }
+        id
+    }
+
     fn entries(&mut self, members: &[Member]) -> Result<Vec<Entry>, String> {
-        let entry = |m: &Member| {
+        let mut entry = |m: &Member| {
             Ok(Entry {
-                machine: self.machines.machine(&m.machine),
+                machine: self.machine(&m.machine),
                 kind: m.kind,
                 cell: m.block,
                 zone: m.region_part,
@@ -447,13 +456,13 @@
                 free_memory: m.memory_free,
             })
         };
-        members.iter().map(entry).collect()
+        members.iter().map(&mut entry).collect()
     }
 
     fn write(&self, action: Action) -> Value {
         let who = &self.name;
         let ticket = |id: TaskId| &self.tickets.texts[id.0 as usize];
-        let machine = |id: MachineId| &self.machines.texts[id.0 as usize];
+        let machine = |id: MachineId| &self.machines[&id];
         match action {
             Action::Send { task, machine: m, wait } => {
                 json!({"Place": {"schedulerId": who, "ticket": ticket(task), "machine": machine(m), "tryForS": wait}})
@@ -532,8 +541,7 @@
                             name: name.clone(),
                             scheduler,
                             tickets: Names::default(),
-                            machines: Names::default(),
-                            services: Names::default(),
+                            machines: BTreeMap::new(),
                             events: Vec::new(),
                         };
                         self.instances.insert(name.clone(), instance);
@@ -572,7 +580,7 @@
             Arrival::InPlace(task) => {
                 let Some(instance) = self.instances.get_mut(&task.scheduler_id) else { return Ok(None) };
                 let machine = task.machine.as_deref().ok_or("`machine` was expected in InPlace")?;
-                let machine = instance.machines.machine(machine);
+                let machine = instance.machine(machine);
                 let event = Event::InPlace(instance.task(&task, true)?, machine);
                 (task.scheduler_id, event)
             }
@@ -608,7 +616,7 @@
             Arrival::Echo(of) => {
                 let Some(instance) = self.instances.get_mut(&of.scheduler_id) else { return Ok(None) };
                 let report = (of.result == "GOOD").then(|| of.report.map(report_of).unwrap_or_default());
-                let event = Event::Probed { machine: instance.machines.machine(&of.machine), report };
+                let event = Event::Probed { machine: instance.machine(&of.machine), report };
                 (of.scheduler_id, event)
             }
             Arrival::Heard(_) => return Ok(None),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -54,7 +54,7 @@
     }
 }
 
-pub fn entry(machine: u32) -> Entry {
+pub fn entry(machine: u64) -> Entry {
     Entry {
         machine: MachineId(machine),
         kind: 0,
@@ -72,7 +72,7 @@
         id: TaskId(id),
         class,
         tenant: 0,
-        service: ServiceId(id as u32 % 5),
+        service: ServiceId(id % 5),
         deadline,
         life: Some(12.0),
         cores: 1.0,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,7 +6,7 @@
 
 const KEYED: Effect = Effect::Keyed { group: Place::Cell, window: 3.0 };
 
-fn fleet(n: u32) -> Event {
+fn fleet(n: u64) -> Event {
     Event::ListWhole((0..n).map(entry).collect())
 }
 
