Schedulers tell each other of programs; starts are learned apart by whether the program was known

The ratio of the two start times was learned by a start's weight and had collapsed to one, so programs counted for nothing. Also: a start takes at least as long as one alone; homes only where no program is known.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,8 +19,7 @@
 /// And means that must follow a machine's state by this much.
 const QUICK: f64 = 0.25;
 /// Before anything is seen: use of asked cores and memory; tasks ask for more than they use.
-const USE_CORES: f64 = 0.6;
-const USE_MEMORY: f64 = 0.75;
+const USED: [f64; 2] = [0.6, 0.75];
 /// Memory in use is planned up to this share: machines slow down and evict above.
 const MEMORY_FULL: f64 = 0.85;
 /// Cores in use are planned up to this share of a class's calm, as use swings.
@@ -39,6 +38,13 @@
 const HOMES: usize = 2;
 /// A home is taken to hold the program with this chance.
 const AT_HOME: f64 = 0.9;
+/// Points of the result that messages may cost.
+const TELL_SPEND: f64 = 0.004;
+/// What others told of a program holds for this many mean lives, and is told again after half of that.
+const HEARD: f64 = 2.0;
+/// The mark of a program whose last task has ended, and how long a machine is trusted to keep it then.
+const GONE: u32 = 1 << 31;
+const KEPT_FOR: Seconds = 2.0;
 /// Seconds of one warm start before any was seen.
 const START: f64 = 0.2;
 /// Programs that a machine is trusted to keep after their last task of ours.
@@ -92,9 +98,10 @@
     tried: Vec<MachineId>,
     /// First attempt that may have run: when it was sent and where.
     may_run: Option<(Seconds, MachineId)>,
-    life_end: Seconds,
-    counted: bool,
+    /// When its hinted life runs out, while it counts in the backlog.
+    life_end: Option<Seconds>,
     start_weight: f64,
+    warm: bool,
 }
 
 #[derive(Debug, Default)]
@@ -104,8 +111,7 @@
     kind: usize,
     cell: usize,
     zone: usize,
-    cores: f64,
-    memory: f64,
+    size: [f64; 2],
     up_since: Option<Seconds>,
     cold_until: Seconds,
     own: [f64; 2],
@@ -157,6 +163,16 @@
     }
 }
 
+/// Running means over the tasks that came: their number, work, cores, memory and life.
+#[derive(Debug, Default)]
+struct Means {
+    seen: f64,
+    work: f64,
+    cores: f64,
+    memory: f64,
+    life: f64,
+}
+
 /// Decides for one scheduler. It knows what its events told it, nothing else.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -166,12 +182,12 @@
     held: Vec<TaskId>,
     machines: BTreeMap<MachineId, Machine>,
     spread: BTreeMap<(ServiceId, MachineId), u32>,
+    /// Programs that others told of, and those we told of: the low halves of service and machine, and when.
+    heard: BTreeMap<(u32, u32), Seconds>,
+    told: BTreeMap<(u32, u32), Seconds>,
+    to_tell: Vec<(u32, u32)>,
     expiry: BTreeSet<(u64, TaskId)>,
-    works: f64,
-    mean_work: f64,
-    mean_cores: f64,
-    mean_memory: f64,
-    mean_life: f64,
+    mean: Means,
     used: [f64; 2],
     answer: f64,
     starts: [Option<f64>; 2],
@@ -215,30 +231,29 @@
 impl Scheduler {
     /// A scheduler that knows nothing yet; `seed` is all the chance it has.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        check(&settings)?;
+        settings.check()?;
         Ok(Self {
             rng: rand_pcg::Pcg32::seed_from_u64(seed),
+            used: USED,
+            rate_at: 0.0,
+            next_wake: f64::INFINITY,
+            subscribed: !settings.subscribe,
+            set: settings,
             jobs: BTreeMap::new(),
             held: Vec::new(),
             machines: BTreeMap::new(),
             spread: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            told: BTreeMap::new(),
+            to_tell: Vec::new(),
             expiry: BTreeSet::new(),
-            works: 0.0,
-            mean_work: 0.0,
-            mean_cores: 0.0,
-            mean_memory: 0.0,
-            mean_life: 0.0,
-            used: [USE_CORES, USE_MEMORY],
+            mean: Means::default(),
             answer: 0.0,
             starts: [None; 2],
             rate: 0.0,
-            rate_at: f64::NEG_INFINITY,
-            next_wake: f64::INFINITY,
-            subscribed: !settings.subscribe,
             asked_at: None,
             ask_at: 0.0,
             ask_fails: 0,
-            set: settings,
         })
     }
 
@@ -254,6 +269,7 @@
         self.keep_list(now, out);
         self.place(now, out);
         self.probe(now, out);
+        self.tell(now, out);
         self.wake(now, out);
     }
 
@@ -300,7 +316,9 @@
             }
             Event::Note { task, note } => self.note(now, task, note),
             Event::Outcome { task, attempt, ending, closed, report } => {
-                self.outcome(now, task, attempt, ending, closed, report)
+                let machine = self.jobs.get(&task).map(|job| job.machine);
+                self.take_report(now, machine, report);
+                self.outcome(now, task, attempt, ending, closed);
             }
             Event::Dropped(id) => match self.jobs.get_mut(&id) {
                 Some(job) if job.state == State::Held => {
@@ -320,6 +338,15 @@
                 self.ask_at = now + pause * self.rng.random_range(0.5..1.0);
                 self.ask_fails = (self.ask_fails + 1).min(16);
             }
+            Event::Heard(bytes) => {
+                for pair in bytes.chunks_exact(8) {
+                    let half =
+                        |i: usize| u32::from_le_bytes([pair[i], pair[i + 1], pair[i + 2], pair[i + 3]]);
+                    let (pair, gone) = ((half(0), half(4) & !GONE), half(4) & GONE != 0);
+                    let until = now + if gone { KEPT_FOR } else { HEARD * self.mean.life };
+                    self.heard.insert(pair, until);
+                }
+            }
             Event::Probed { machine, report } => {
                 if let Some(m) = self.machines.get_mut(&machine) {
                     if report.is_none() {
@@ -327,23 +354,20 @@
                     }
                     m.probe_at = now;
                 }
-                self.take_report(now, machine, report);
+                self.take_report(now, Some(machine), report);
             }
         }
     }
 
     fn learn_task(&mut self, now: Seconds, task: &Task) {
-        self.works += 1.0;
-        let by = (1.0 / self.works).max(SLOW);
-        let life = task.life.unwrap_or(self.mean_life);
-        self.mean_life += (life - self.mean_life) * by;
-        self.mean_work += (life * task.cores - self.mean_work) * by;
-        self.mean_cores += (task.cores - self.mean_cores) * by;
-        self.mean_memory += (task.memory - self.mean_memory) * by;
-        if self.rate_at.is_finite() {
-            self.rate *= (-(now - self.rate_at) / 5.0).exp();
-        }
-        self.rate += 0.2;
+        self.mean.seen += 1.0;
+        let by = (1.0 / self.mean.seen).max(SLOW);
+        let life = task.life.unwrap_or(self.mean.life);
+        self.mean.life += (life - self.mean.life) * by;
+        self.mean.work += (life * task.cores - self.mean.work) * by;
+        self.mean.cores += (task.cores - self.mean.cores) * by;
+        self.mean.memory += (task.memory - self.mean.memory) * by;
+        self.rate = 0.2 + self.rate * (-(now - self.rate_at) / 5.0).exp();
         self.rate_at = now;
     }
 
@@ -374,26 +398,17 @@
         let unit = took / work.max(1.0);
         m.unit = Some(m.unit.map_or(unit, |u| u + (unit - u) * QUICK));
         if work == job.start_weight {
-            let mean = &mut self.starts[usize::from(work > 1.0)];
+            let mean = &mut self.starts[usize::from(!job.warm)];
             *mean = Some(mean.map_or(took, |v| v + (took - v) * 0.05));
         }
     }
 
-    fn outcome(
-        &mut self,
-        now: Seconds,
-        id: TaskId,
-        attempt: u32,
-        ending: Ending,
-        closed: bool,
-        report: Option<Report>,
-    ) {
+    fn outcome(&mut self, now: Seconds, id: TaskId, attempt: u32, ending: Ending, closed: bool) {
         let Some(job) = self.jobs.get(&id) else { return };
         if attempt + 1 != job.sends {
             return;
         }
         let (was, machine, sent_at) = (job.state, job.machine, job.sent_at);
-        self.take_report(now, machine, report);
         self.uncount(now, id);
         let m = self.machines.entry(machine).or_default();
         match ending {
@@ -444,10 +459,10 @@
         self.held.push(id);
     }
 
-    fn take_report(&mut self, now: Seconds, id: MachineId, report: Option<Report>) {
-        let (Some(m), Some(report)) = (self.machines.get_mut(&id), report) else { return };
+    fn take_report(&mut self, now: Seconds, id: Option<MachineId>, report: Option<Report>) {
+        let (Some(m), Some(report)) = (id.and_then(|id| self.machines.get_mut(&id)), report) else { return };
         m.report_at = now;
-        let size = [m.cores, m.memory];
+        let size = m.size;
         let taken = [report.free_cores.map(|f| size[0] - f), report.free_memory.map(|f| size[1] - f)];
         if self.set.reports_use {
             m.lag(now);
@@ -476,7 +491,7 @@
             let m = self.machines.entry(e.machine).or_default();
             m.line = if m.listed { m.line } else { LINE };
             let Some(kind) = self.set.kinds.get(e.kind) else { continue };
-            (m.cores, m.memory) = (kind.cores, kind.memory);
+            m.size = [kind.cores, kind.memory];
             (m.listed, m.kind, m.cell, m.zone) = (true, e.kind, e.cell, e.zone);
             m.leaving = e.standing != Standing::Ready;
             if e.up_since > m.up_since {
@@ -484,29 +499,36 @@
             }
             m.up_since = e.up_since;
             if self.set.lists_free {
-                m.see_asked(now, [Some(m.cores - e.free_cores), Some(m.memory - e.free_memory)]);
+                m.see_asked(now, [Some(kind.cores - e.free_cores), Some(kind.memory - e.free_memory)]);
             }
         }
     }
 
     /// Counts a send or a task in place against its machine.
     fn count(&mut self, now: Seconds, id: TaskId) {
-        let (mean_life, setup) = (self.mean_life, self.setup());
+        let (mean_life, setup) = (self.mean.life, self.setup());
+        let Some(job) = self.jobs.get(&id) else { return };
+        let m = self.machines.get(&job.machine);
+        let warm = m.is_some_and(|m| self.warm(now, job.task.service, job.machine, m));
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let warm = self.spread.contains_key(&(job.task.service, job.machine));
         *self.spread.entry((job.task.service, job.machine)).or_default() += 1;
+        let pair = pair(job.task.service, job.machine);
+        if self.told.get(&pair).is_none_or(|&at| now - at > HEARD * mean_life / 2.0) {
+            self.told.insert(pair, now);
+            self.to_tell.push(pair);
+        }
         let m = self.machines.entry(job.machine).or_default();
         m.lag(now);
         m.own[0] += job.task.cores;
         m.own[1] += job.task.memory;
         m.tasks += 1;
-        job.life_end = now + job.task.life.unwrap_or(mean_life).clamp(0.0, 1e7);
+        let life_end = now + job.task.life.unwrap_or(mean_life).clamp(0.0, 1e7);
+        job.life_end = Some(life_end);
         m.core_sum += job.task.cores;
-        m.end_sum += job.task.cores * job.life_end;
-        job.counted = true;
-        self.expiry.insert((micros(job.life_end), id));
+        m.end_sum += job.task.cores * life_end;
+        self.expiry.insert((micros(life_end), id));
         if job.state == State::Out {
-            job.start_weight = if warm || m.programs.contains(&job.task.service) { 1.0 } else { setup };
+            (job.warm, job.start_weight) = (warm, if warm { 1.0 } else { setup });
             m.start_work += job.start_weight;
             m.unanswered.insert(id, now);
             m.starting.insert(id, (now, m.start_work));
@@ -520,20 +542,16 @@
 
     fn forget_backlog(&mut self, id: TaskId) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        if !std::mem::take(&mut job.counted) {
-            return;
-        }
-        if let Some(m) = self.machines.get_mut(&job.machine) {
-            m.core_sum -= job.task.cores;
-            m.end_sum -= job.task.cores * job.life_end;
-        }
+        let (Some(end), Some(m)) = (job.life_end.take(), self.machines.get_mut(&job.machine)) else { return };
+        self.expiry.remove(&(micros(end), id));
+        m.core_sum -= job.task.cores;
+        m.end_sum -= job.task.cores * end;
     }
 
     /// Takes back all that `count` did.
     fn uncount(&mut self, now: Seconds, id: TaskId) {
         self.forget_backlog(id);
         let Some(job) = self.jobs.get(&id) else { return };
-        self.expiry.remove(&(micros(job.life_end), id));
         let Some(m) = self.machines.get_mut(&job.machine) else { return };
         m.lag(now);
         m.own[0] -= job.task.cores;
@@ -552,6 +570,9 @@
             *n -= 1;
             if *n == 0 {
                 self.spread.remove(&key);
+                let pair = pair(key.0, key.1);
+                self.told.remove(&pair);
+                self.to_tell.push((pair.0, pair.1 | GONE));
                 m.programs.retain(|&p| p != key.0);
                 m.programs.push_back(key.0);
                 if m.programs.len() > KEPT {
@@ -561,10 +582,6 @@
         }
     }
 
-    fn cold(&self, m: &Machine, now: Seconds) -> bool {
-        m.up_since.is_some_and(|up| now < up + self.set.safety.cold) || now < m.cold_until
-    }
-
     /// Offers that this scheduler may make to a cold machine within how long: its part of what all may.
     fn cold_budget(&self) -> (usize, Seconds) {
         let part = self.set.safety.cold_bears / self.set.schedulers as f64;
@@ -591,7 +608,7 @@
         if !once {
             return false;
         }
-        if self.cold(m, now) {
+        if cold(m, &self.set, now) {
             let (most, window) = self.cold_budget();
             if m.offers.iter().filter(|&&at| at > now - window).count() >= most {
                 return false;
@@ -619,19 +636,24 @@
 
     fn setup(&self) -> f64 {
         match self.starts {
-            [Some(warm), Some(cold)] if warm > 0.0 => (cold / warm).clamp(1.0, 20.0),
+            [Some(warm), Some(cold)] if warm > 0.0 => (cold / warm).clamp(2.0, 20.0),
             _ => SETUP,
         }
     }
 
     /// How long until the task would run there, from the pace of starts seen there.
-    fn start_in(&self, now: Seconds, job: &Job, id: MachineId, m: &Machine, home: bool) -> Seconds {
-        let warm =
-            m.programs.contains(&job.task.service) || self.spread.contains_key(&(job.task.service, id));
+    fn start_in(&self, now: Seconds, m: &Machine, program: f64) -> Seconds {
         let unit = m.unit.or(self.starts[0]).unwrap_or(START);
         let unit = m.starting.values().next().map_or(unit, |&(at, work)| unit.max((now - at) / work));
-        let cold = if home { 1.0 + (1.0 - AT_HOME) * (self.setup() - 1.0) } else { self.setup() };
-        unit * (m.start_work + if warm { 1.0 } else { cold })
+        let work = program + (1.0 - program) * self.setup();
+        // Starts run side by side, so the pace of many says nothing of how long one takes.
+        (unit * (m.start_work + work)).max(self.starts[0].unwrap_or(START) * work)
+    }
+
+    fn warm(&self, now: Seconds, service: ServiceId, id: MachineId, m: &Machine) -> bool {
+        m.programs.contains(&service)
+            || self.spread.contains_key(&(service, id))
+            || self.heard.get(&pair(service, id)).is_some_and(|&until| now < until)
     }
 
     /// Whether the machine would admit the task, and how crowded that would leave it: up to 1 all are served
@@ -639,7 +661,7 @@
     fn crowding(&self, now: Seconds, job: &Job, m: &Machine) -> Option<f64> {
         let (class, task) = (&self.set.classes[job.task.class], &job.task);
         let use_of = |i: usize| m.used[i].unwrap_or(self.used[i]).max(0.05);
-        let asked = [(m.asked(0) + task.cores) / m.cores, (m.asked(1) + task.memory) / m.memory];
+        let asked = [(m.asked(0) + task.cores) / m.size[0], (m.asked(1) + task.memory) / m.size[1]];
         let used = [asked[0] * use_of(0), asked[1] * use_of(1)];
         let admitted = asked[0] <= self.set.admit_cores * ADMIT_FULL
             && asked[1] <= self.set.admit_memory * ADMIT_FULL
@@ -650,9 +672,9 @@
     }
 
     fn backlog(&self, now: Seconds, m: &Machine) -> f64 {
-        let lanes_cores = m.cores / (self.used[0] * self.mean_cores).max(1e-6);
-        let lanes_memory = MEMORY_FULL * m.memory / (self.used[1] * self.mean_memory).max(1e-6);
-        let others = m.others[0] * self.mean_life;
+        let lanes_cores = m.size[0] / (self.used[0] * self.mean.cores).max(1e-6);
+        let lanes_memory = MEMORY_FULL * m.size[1] / (self.used[1] * self.mean.memory).max(1e-6);
+        let others = m.others[0] * self.mean.life;
         ((m.end_sum - now * m.core_sum).max(0.0) + others) / lanes_cores.min(lanes_memory).max(1.0)
     }
 
@@ -675,14 +697,23 @@
         if self.set.prices.machines > 0.0 {
             narrow(&mut found, |(_, m, _)| m.asked(0) > 0.0);
         }
-        // Other schedulers' programs are not seen: all prefer the same few machines for a service. Where a home
-        // is crowded, silent or barred the next one in the order takes its place. Harm: a popular service fills
-        // its homes first.
-        let mut ranks: Vec<u64> = found.iter().map(|f| rank(job.task.service, f.0)).collect();
+        // Where no program is known, all schedulers prefer the same few machines for a service: others' programs
+        // are not seen. Where a home is crowded, silent or barred, the next in the order takes its place. Harm: a
+        // popular service fills its homes first.
+        let service = job.task.service;
+        let mut ranks: Vec<u64> = found.iter().map(|f| rank(service, f.0)).collect();
         ranks.sort_unstable();
-        let home = ranks.get(HOMES - 1).copied().unwrap_or(u64::MAX);
+        let known = found.iter().any(|f| self.warm(now, service, f.0, f.1));
+        let home = ranks.get(HOMES - 1).filter(|_| !known).copied().unwrap_or(0);
         let start = |f: &(MachineId, &Machine, f64)| {
-            self.start_in(now, job, f.0, f.1, rank(job.task.service, f.0) <= home)
+            let program = if known && self.warm(now, service, f.0, f.1) {
+                1.0
+            } else if rank(service, f.0) <= home {
+                AT_HOME
+            } else {
+                0.0
+            };
+            self.start_in(now, f.1, program)
         };
         let soonest = found.iter().map(start).fold(f64::INFINITY, f64::min);
         let aim = self.set.classes[job.task.class].aim * IN_TIME;
@@ -692,12 +723,12 @@
         }
         let known: Vec<f64> = found.iter().map(|(_, m, _)| self.backlog(now, m)).collect();
         let mean = known.iter().sum::<f64>() / known.len() as f64;
-        let new = |m: &Machine| m.tasks == 0 || self.cold(m, now);
+        let new = |m: &Machine| m.tasks == 0 || cold(m, &self.set, now);
         let backlogs: Vec<f64> =
             found.iter().zip(&known).map(|((_, m, _), &b)| if new(m) { mean } else { b }).collect();
-        let work = job.task.life.map_or(self.mean_work, |life| life * job.task.cores);
+        let work = job.task.life.map_or(self.mean.work, |life| life * job.task.cores);
         let ids: Vec<MachineId> = found.iter().map(|f| f.0).collect();
-        Some(ids[dice(&backlogs, work, self.mean_work, &mut self.rng)])
+        Some(ids[dice(&backlogs, work, self.mean.work, &mut self.rng)])
     }
 
     fn place(&mut self, now: Seconds, out: &mut Vec<Action>) {
@@ -759,6 +790,22 @@
         out.push(if harmless { Action::Refuse { task: id, retry_in: 0.0 } } else { Action::Fail(id) });
     }
 
+    /// Tells the others which programs are where: a start without the program is mostly too late, and their
+    /// programs are seen nowhere. Where messages are barred or dear, homes must do. Harm: a program that is
+    /// gone draws some starts until what was told has aged.
+    fn tell(&mut self, now: Seconds, out: &mut Vec<Action>) {
+        let bytes: Vec<u8> =
+            self.to_tell.drain(..).flat_map(|p| [p.0.to_le_bytes(), p.1.to_le_bytes()]).flatten().collect();
+        let share = (self.set.schedulers - 1) as f64 * 8.0 / 256.0;
+        if self.set.messages && share > 0.0 && self.set.prices.message * share <= TELL_SPEND {
+            out.extend(bytes.chunks(256).map(|part| Action::Tell(part.to_vec())));
+        }
+        if self.heard.len() + self.told.len() > 20_000 {
+            self.heard.retain(|_, until| now < *until);
+            self.told.retain(|_, at| now - *at < HEARD * self.mean.life);
+        }
+    }
+
     fn keep_list(&mut self, now: Seconds, out: &mut Vec<Action>) {
         if self.asked_at.is_some_and(|at| now - at > ASK_LOST) {
             (self.subscribed, self.asked_at, self.ask_at) = (false, None, now);
@@ -779,8 +826,7 @@
         let each = (self.machines.len() as f64 / (self.rate * spend).max(0.1)).max(STALE);
         for (&id, m) in &mut self.machines {
             let due = now - m.report_at.max(m.probe_at) >= each;
-            let cold = m.up_since.is_some_and(|up| now < up + self.set.safety.cold) || now < m.cold_until;
-            if due && m.listed && !m.leaving && !cold {
+            if due && m.listed && !m.leaving && !cold(m, &self.set, now) {
                 m.probe_at = now;
                 out.push(Action::Probe(id));
             }
@@ -814,9 +860,9 @@
             machine,
             tried: Vec::new(),
             may_run: None,
-            life_end: now,
-            counted: false,
+            life_end: None,
             start_weight: 1.0,
+            warm: true,
         }
     }
 }
@@ -827,43 +873,18 @@
     (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93)
 }
 
+fn cold(m: &Machine, set: &Settings, now: Seconds) -> bool {
+    m.up_since.is_some_and(|up| now < up + set.safety.cold) || now < m.cold_until
+}
+
+/// A service and a machine as schedulers tell each other of them.
+fn pair(service: ServiceId, machine: MachineId) -> (u32, u32) {
+    (service.0 as u32, machine.0 as u32 & !GONE)
+}
+
 /// Keeps what `good` likes, or all if it likes nothing.
 fn narrow<T>(found: &mut Vec<T>, good: impl Fn(&T) -> bool) {
     if found.iter().any(&good) {
         found.retain(good);
     }
 }
-
-fn check(set: &Settings) -> Result<(), SettingsError> {
-    let fail = |field, problem: &str| Err(SettingsError { field, problem: problem.to_owned() });
-    let bad = |x: f64| x.is_nan() || x < 0.0;
-    if set.classes.is_empty() {
-        return fail("classes", "at least one is needed");
-    }
-    if set.kinds.is_empty() || set.kinds.iter().any(|k| !(k.cores > 0.0 && k.memory > 0.0)) {
-        return fail("kinds", "at least one is needed, each with cores and memory above 0");
-    }
-    if set.schedulers == 0 || set.ordinal >= set.schedulers {
-        return fail("schedulers", "must be above the ordinal of this one");
-    }
-    for c in &set.classes {
-        if [c.aim, c.deadline, c.worth, c.start_worth, c.calm, c.fade].into_iter().any(bad) {
-            return fail("classes", "a negative time, worth or share");
-        }
-        if c.kind.is_some_and(|k| k >= set.kinds.len()) {
-            return fail("classes", "a kind that is not among the kinds");
-        }
-        if matches!(c.effect, Effect::Keyed { window, .. } if bad(window)) {
-            return fail("classes", "a negative window");
-        }
-    }
-    let s = &set.safety;
-    let times = [s.answer_slack, s.ask_within, s.cold, s.drain_grace, s.overload_for, s.cold_bears];
-    if times.into_iter().chain([s.cold_from, s.fall_multiple]).any(bad) {
-        return fail("safety", "a negative figure");
-    }
-    if bad(set.admit_cores) || bad(set.admit_memory) {
-        return fail("admit_cores", "a negative figure");
-    }
-    Ok(())
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -173,6 +173,8 @@
     pub reports_use: bool,
     /// Probes are permitted.
     pub probes: bool,
+    /// Schedulers may tell each other things.
+    pub messages: bool,
     /// Attempts that one request may have.
     pub max_attempts: u32,
     /// The longest advice to stay away that is followed, 0 if none is.
@@ -185,6 +187,43 @@
     pub prices: Prices,
 }
 
+impl Settings {
+    /// Tells the first field that can't be worked with.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let fail = |field, problem: &str| Err(SettingsError { field, problem: problem.to_owned() });
+        let bad = |x: f64| x.is_nan() || x < 0.0;
+        if self.classes.is_empty() {
+            return fail("classes", "at least one is needed");
+        }
+        if self.kinds.is_empty() || self.kinds.iter().any(|k| !(k.cores > 0.0 && k.memory > 0.0)) {
+            return fail("kinds", "at least one is needed, each with cores and memory above 0");
+        }
+        if self.schedulers == 0 || self.ordinal >= self.schedulers {
+            return fail("schedulers", "must be above the ordinal of this one");
+        }
+        for c in &self.classes {
+            if [c.aim, c.deadline, c.worth, c.start_worth, c.calm, c.fade].into_iter().any(bad) {
+                return fail("classes", "a negative time, worth or share");
+            }
+            if c.kind.is_some_and(|k| k >= self.kinds.len()) {
+                return fail("classes", "a kind that is not among the kinds");
+            }
+            if matches!(c.effect, Effect::Keyed { window, .. } if bad(window)) {
+                return fail("classes", "a negative window");
+            }
+        }
+        let s = &self.safety;
+        let times = [s.answer_slack, s.ask_within, s.cold, s.drain_grace, s.overload_for, s.cold_bears];
+        if times.into_iter().chain([s.cold_from, s.fall_multiple]).any(bad) {
+            return fail("safety", "a negative figure");
+        }
+        if bad(self.admit_cores) || bad(self.admit_memory) {
+            return fail("admit_cores", "a negative figure");
+        }
+        Ok(())
+    }
+}
+
 /// A task as its owner describes it.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -361,6 +400,8 @@
         /// Its load.
         report: Option<Report>,
     },
+    /// What another scheduler told; may be late, and some are lost.
+    Heard(Vec<u8>),
 }
 
 /// What a scheduler wants done, in this order.
@@ -397,6 +438,8 @@
     },
     /// Ask a machine for its load.
     Probe(MachineId),
+    /// Tell all other schedulers these bytes, 256 at most.
+    Tell(Vec<u8>),
     /// A line for the operators.
     Log(String),
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
+use base64::prelude::*;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -30,7 +31,7 @@
     Vanished(Ticket),
     Reminder(Token),
     Echo(EchoOf),
-    Heard(serde::de::IgnoredAny),
+    Heard(HeardOf),
 }
 
 #[derive(Deserialize)]
@@ -62,6 +63,13 @@
     report: Option<BTreeMap<String, f64>>,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct HeardOf {
+    scheduler_id: String,
+    payload: String,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Start {
@@ -212,6 +220,8 @@
     #[serde(default)]
     max_retry_after_s: f64,
     #[serde(default)]
+    peers: bool,
+    #[serde(default)]
     probes: bool,
     #[serde(default)]
     retry_after: bool,
@@ -323,6 +333,7 @@
         },
         reports_use: fam.measured_by == "used",
         probes: limits.probes,
+        messages: limits.peers,
         max_attempts: limits.max_attempts,
         max_retry_after: if limits.retry_after { limits.max_retry_after_s } else { 0.0 },
         over_share_worth: info.over_share_worth,
@@ -432,9 +443,7 @@
 
     fn machine(&mut self, text: &str) -> MachineId {
         let id = MachineId(hash(text));
-        if !self.machines.contains_key(&id) {
-            self.machines.insert(id, text.to_owned());
-        }
+        self.machines.entry(id).or_insert_with(|| text.to_owned());
         id
     }
 
@@ -477,6 +486,10 @@
                 json!({"Schedule": {"schedulerId": who, "inS": after, "token": token}})
             }
             Action::Probe(m) => json!({"Check": {"schedulerId": who, "machine": machine(m)}}),
+            Action::Tell(bytes) => {
+                let payload = BASE64_STANDARD.encode(bytes);
+                json!({"BroadcastTo": {"schedulerId": who, "recipient": -1, "payload": payload}})
+            }
             Action::Log(what) => json!({"WriteLog": {"schedulerId": who, "what": what}}),
         }
     }
@@ -619,7 +632,12 @@
                 let event = Event::Probed { machine: instance.machine(&of.machine), report };
                 (of.scheduler_id, event)
             }
-            Arrival::Heard(_) => return Ok(None),
+            Arrival::Heard(of) => {
+                let bytes = BASE64_STANDARD
+                    .decode(&of.payload)
+                    .map_err(|e| format!("`payload` of Heard must be base64: {e}"))?;
+                (of.scheduler_id, Event::Heard(bytes))
+            }
         };
         let Some(instance) = self.instances.get_mut(&name) else { return Ok(None) };
         instance.events.push(event);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -37,6 +37,7 @@
         reports: Reports::Answers,
         reports_use: true,
         probes: false,
+        messages: false,
         max_attempts: 4,
         max_retry_after: 0.0,
         over_share_worth: 0.1,
