--- a/src/choice.rs
+++ b/src/choice.rs
@@ -697,8 +697,8 @@
         if self.set.prices.machines > 0.0 {
             narrow(&mut found, |(_, m, _)| m.asked(0) > 0.0);
         }
-        // Where no program is known, all schedulers prefer the same few machines for a service: others' programs
-        // are not seen. Where a home is crowded, silent or barred, the next in the order takes its place. Harm: a
+        // Where no program is known, all schedulers prefer the same few machines for a service, as others'
+        // programs are not seen. Where a home is crowded, silent or barred, the next takes its place. Harm: a
         // popular service fills its homes first.
         let service = job.task.service;
         let mut ranks: Vec<u64> = found.iter().map(|f| rank(service, f.0)).collect();
