--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,7 +23,7 @@
 /// Memory in use is planned up to this share: machines slow down and evict above.
 const MEMORY_FULL: f64 = 0.85;
 /// Cores in use are planned up to this share of a class's calm, as use swings.
-const CORES_FULL: f64 = 0.85;
+const CORES_FULL: f64 = 0.95;
 /// Where no machine has room in comfort, the least crowded may go this far into the fade of the class, and
 /// this full of memory: a crowded start is worth more than none.
 const STRETCH: f64 = 0.7;
