--- a/src/choice.rs
+++ b/src/choice.rs
@@ -70,6 +70,8 @@
 const LEEWAY: Seconds = 0.03;
 /// Held tasks are looked at again at least this often.
 const AGAIN: Seconds = 0.05;
+/// And more rarely from about this many on.
+const CROWDED: f64 = 200.0;
 /// First pause before asking for the list again, doubling, drawn from half to whole.
 const ASK_AGAIN: Seconds = 0.8;
 /// A call for the list that has brought nothing for this long counts as failed.
@@ -79,8 +81,9 @@
 /// A report older than this is worth a probe.
 const STALE: Seconds = 1.0;
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
 enum State {
+    #[default]
     Held,
     Out,
     Bound,
@@ -88,7 +91,7 @@
     Over,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Job {
     task: Task,
     state: State,
@@ -179,7 +182,10 @@
     set: Settings,
     rng: rand_pcg::Pcg32,
     jobs: BTreeMap<TaskId, Job>,
+    /// Tasks to place now, and tasks that found no machine and are tried again from `retry_at`.
+    fresh: Vec<TaskId>,
     held: Vec<TaskId>,
+    retry_at: Seconds,
     machines: BTreeMap<MachineId, Machine>,
     spread: BTreeMap<(ServiceId, MachineId), u32>,
     /// Programs that others told of, and those we told of: the low halves of service and machine, and when.
@@ -240,7 +246,9 @@
             subscribed: !settings.subscribe,
             set: settings,
             jobs: BTreeMap::new(),
+            fresh: Vec::new(),
             held: Vec::new(),
+            retry_at: f64::INFINITY,
             machines: BTreeMap::new(),
             spread: BTreeMap::new(),
             heard: BTreeMap::new(),
@@ -280,8 +288,8 @@
                     return;
                 }
                 self.learn_task(now, &task);
-                self.held.push(task.id);
-                self.jobs.insert(task.id, Job::new(task, now, MachineId(u64::MAX)));
+                self.fresh.push(task.id);
+                self.jobs.insert(task.id, Job { task, sent_at: now, ..Job::default() });
             }
             Event::InPlace(task, machine) => {
                 if self.jobs.contains_key(&task.id) {
@@ -289,8 +297,8 @@
                 }
                 self.learn_task(now, &task);
                 let id = task.id;
-                let mut job = Job::new(task, now, machine);
-                (job.state, job.sends) = (State::Bound, 1);
+                let job =
+                    Job { task, sent_at: now, machine, state: State::Bound, sends: 1, ..Job::default() };
                 self.jobs.insert(id, job);
                 self.count(now, id);
             }
@@ -323,7 +331,6 @@
             Event::Dropped(id) => match self.jobs.get_mut(&id) {
                 Some(job) if job.state == State::Held => {
                     self.jobs.remove(&id);
-                    self.held.retain(|&h| h != id);
                 }
                 Some(job) => job.state = State::Over,
                 None => {}
@@ -456,7 +463,7 @@
             job.tried.push(machine);
         }
         job.state = State::Held;
-        self.held.push(id);
+        self.fresh.push(id);
     }
 
     fn take_report(&mut self, now: Seconds, id: Option<MachineId>, report: Option<Report>) {
@@ -732,7 +739,12 @@
     }
 
     fn place(&mut self, now: Seconds, out: &mut Vec<Action>) {
-        let mut held = std::mem::take(&mut self.held);
+        // Waiting tasks take turns, rarer the more there are: each look costs CPU, which is limited.
+        let mut held = std::mem::take(&mut self.fresh);
+        if now >= self.retry_at {
+            held.append(&mut self.held);
+            self.retry_at = f64::INFINITY;
+        }
         let classes = &self.set.classes;
         held.sort_by(|a, b| {
             let worth = |id: &TaskId| self.jobs.get(id).map_or(0.0, |j| classes[j.task.class].worth);
@@ -751,6 +763,8 @@
             } else if let Some(machine) = self.pick(now, id) {
                 self.send(now, id, machine, out);
             } else {
+                let pause = AGAIN * (1.0 + self.held.len() as f64 / CROWDED);
+                self.retry_at = self.retry_at.min(now + pause).min(self.jobs[&id].task.deadline - LEEWAY);
                 self.held.push(id);
             }
         }
@@ -840,9 +854,7 @@
         } else if !self.subscribed {
             at = at.min(self.ask_at);
         }
-        for job in self.held.iter().filter_map(|id| self.jobs.get(id)) {
-            at = at.min(now + AGAIN).min(job.task.deadline - LEEWAY);
-        }
+        at = at.min(self.retry_at);
         if at.is_finite() && at < self.next_wake {
             self.next_wake = at;
             out.push(Action::Timer { after: (at - now).max(0.001), token: micros(at) });
@@ -850,23 +862,6 @@
     }
 }
 
-impl Job {
-    fn new(task: Task, now: Seconds, machine: MachineId) -> Self {
-        Self {
-            task,
-            state: State::Held,
-            sends: 0,
-            sent_at: now,
-            machine,
-            tried: Vec::new(),
-            may_run: None,
-            life_end: None,
-            start_weight: 1.0,
-            warm: true,
-        }
-    }
-}
-
 /// The place of a machine in a service's order of homes: the same at every scheduler.
 fn rank(service: ServiceId, machine: MachineId) -> u64 {
     let x = (service.0 ^ machine.0.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,16 +7,16 @@
 pub type Seconds = f64;
 
 /// One request to place a task. Never reused: a task that comes again has a new id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId(pub u64);
 
 /// A machine. It keeps its id over restarts, and all schedulers are given the same id for it: such as a hash of
 /// its address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MachineId(pub u64);
 
 /// The service that a task belongs to; all schedulers are given the same id for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceId(pub u64);
 
 /// The machines that a group or a spread rule speaks of.
@@ -225,7 +225,7 @@
 }
 
 /// A task as its owner describes it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Task {
     /// The request.
     pub id: TaskId,
