--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,6 +42,8 @@
 const TELL_SPEND: f64 = 0.004;
 /// What others told of a program holds for this many mean lives, and is told again after half of that.
 const HEARD: f64 = 2.0;
+/// And for this long at least, as lives are unknown at first.
+const HEARD_LEAST: Seconds = 10.0;
 /// The mark of a program whose last task has ended, and how long a machine is trusted to keep it then.
 const GONE: u32 = 1 << 31;
 const KEPT_FOR: Seconds = 2.0;
@@ -350,7 +352,7 @@
                     let half =
                         |i: usize| u32::from_le_bytes([pair[i], pair[i + 1], pair[i + 2], pair[i + 3]]);
                     let (pair, gone) = ((half(0), half(4) & !GONE), half(4) & GONE != 0);
-                    let until = now + if gone { KEPT_FOR } else { HEARD * self.mean.life };
+                    let until = now + if gone { KEPT_FOR } else { HEARD_LEAST.max(HEARD * self.mean.life) };
                     self.heard.insert(pair, until);
                 }
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -180,3 +180,65 @@
     w.scheduler.step(2.98, vec![Event::Timer(0)], &mut out);
     assert!(out.contains(&Action::Refuse { task: TaskId(1), retry_in: 0.0 }));
 }
+
+/// Starts without the program were mostly late: what another scheduler tells of a program draws its tasks.
+#[test]
+fn told_programs_draw_tasks() {
+    let mut set = settings(vec![class(Effect::Safe)]);
+    set.messages = true;
+    let same = |id| Task { service: ServiceId(7), ..task(id, 0, 9.0) };
+    let mut teller = Watched::new(set.clone(), 1);
+    let actions = teller.step(1.0, vec![fleet(12), Event::InPlace(same(1), MachineId(9))]);
+    let told = actions.iter().find_map(|a| match a {
+        Action::Tell(bytes) => Some(bytes.clone()),
+        _ => None,
+    });
+    let mut hearer = Watched::new(set.clone(), 2);
+    hearer.step(1.0, vec![fleet(12)]);
+    let mut events = vec![Event::Heard(told.expect("the program is told"))];
+    events.extend((2..5).map(|i| Event::Submit(same(i))));
+    let sent = sends(&hearer.step(1.1, events));
+    assert_eq!(sent.iter().map(|s| s.1).collect::<Vec<_>>(), [MachineId(9); 3]);
+    set.messages = false;
+    let quiet = Watched::new(set, 1).step(1.0, vec![fleet(12), Event::InPlace(same(1), MachineId(9))]);
+    assert!(!quiet.iter().any(|a| matches!(a, Action::Tell(_))));
+}
+
+/// Without messages, schedulers with other seeds agree on a few homes of a service.
+#[test]
+fn schedulers_agree_on_homes() {
+    let mut to = std::collections::BTreeSet::new();
+    for seed in 0..20 {
+        let mut w = Watched::new(settings(vec![class(Effect::Safe)]), seed);
+        let sent = sends(&w.step(1.0, vec![fleet(12), Event::Submit(task(1, 0, 7.0))]));
+        to.insert(sent[0].1);
+    }
+    assert!(to.len() <= 2, "{to:?}");
+}
+
+/// Odd messages are borne.
+#[test]
+fn messages_that_make_no_sense_are_ignored() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    w.step(1.0, vec![Event::Heard(vec![1, 2, 3]), Event::Heard(vec![]), Event::Heard(vec![255; 256])]);
+}
+
+/// The times of starts with and without the program are learned apart, however near they come: once they had been
+/// mixed, programs counted for nothing and tasks went anywhere.
+#[test]
+fn programs_go_on_counting_after_many_quick_starts() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    w.step(1.0, vec![fleet(12)]);
+    let mut now = 1.0;
+    for id in 0..60 {
+        now += 1.0;
+        let new = Task { service: ServiceId(id), ..task(id, 0, now + 6.0) };
+        w.step(now, vec![Event::Submit(new)]);
+        w.step(now + 0.02, vec![Event::Confirmed { task: TaskId(id), attempt: 0 }]);
+        w.step(now + 0.15, vec![Event::Note { task: TaskId(id), note: Note::Runs }]);
+    }
+    let same = |id| Task { service: ServiceId(777), ..task(id, 0, now + 9.0) };
+    w.step(now + 1.0, vec![Event::InPlace(same(900), MachineId(3))]);
+    let sent = sends(&w.step(now + 1.1, (901..904).map(|i| Event::Submit(same(i))).collect()));
+    assert!(sent.iter().all(|s| s.1 == MachineId(3)), "{sent:?}");
+}
