--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,8 +1,10 @@
 //! All decisions of tidespur. Types, events and actions: `src/interface.rs`.
 //!
-//! Dice (Xie, Hyytiä, Righter, "Size-Aware Dispatching to Fluid Queues") decides the ordinary path: see
-//! [`dice`]. `step` first takes in all that was observed, then places what waits. Every send passes `gate`,
-//! every request ends in `finish` (or by an event that says it is over).
+//! The path of a request: `step` first takes in all that was observed, then `place` takes what waits. `pick`
+//! keeps the machines that pass `gate` (the five rules) and have room (`crowding`), narrows these candidates by
+//! evidence of trouble, comfort and foreseen start, and lets [`dice`] (Xie, Hyytiä, Righter, "Size-Aware
+//! Dispatching to Fluid Queues") choose among them; `send` offers the task. One that can't be placed ends in
+//! `finish`, or by an event that says it is over.
 
 use crate::interface::*;
 use rand::{Rng, SeedableRng};
@@ -12,49 +14,39 @@
 const THRESHOLD: f64 = 6.0;
 /// Dice: backlogs within this many mean works of the best are alike, so schedulers don't hit one machine.
 const MARGIN: f64 = 0.15;
-/// Dice: longer work looks at this many machines with room.
-const FEW: usize = 4;
+const SAMPLE: usize = 4; // Dice: longer work looks at this many machines with room.
 /// Running means move by this much for one observation once they have seen enough.
-const SLOW: f64 = 0.01;
-/// And means that must follow a machine's state by this much.
-const QUICK: f64 = 0.25;
+const MEAN_WEIGHT: f64 = 0.01;
+const ANSWER_WEIGHT: f64 = 0.05; // Means of answers and starts by this much.
+const STATE_WEIGHT: f64 = 0.25; // And means that must follow a machine's state by this much.
 /// Before anything is seen: use of asked cores and memory; tasks ask for more than they use.
 const USED: [f64; 2] = [0.6, 0.75];
 /// Memory in use is planned up to this share: machines slow down and evict above.
 const MEMORY_FULL: f64 = 0.85;
-/// Cores in use are planned up to this share of a class's calm, as use swings.
-const CORES_FULL: f64 = 0.95;
+const CORES_FULL: f64 = 0.95; // Cores in use are planned up to this share of a class's calm: use swings.
 /// Where no machine has room in comfort, the least crowded may go this far into the fade of the class, and
 /// this full of memory: a crowded start is worth more than none.
 const STRETCH: f64 = 0.7;
 const MEMORY_MOST: f64 = 0.96;
-/// Then machines crowded within this of the least count as alike.
-const CROWD: f64 = 0.05;
+const CROWD: f64 = 0.05; // Then machines crowded within this of the least count as alike.
 /// Admission is planned up to this share of the machine's limit: views are late and a refusal costs.
 const ADMIT_FULL: f64 = 0.97;
 /// A start without the program is taken as this many starts with it until both were seen.
 const SETUP: f64 = 6.0;
 /// Machines that all schedulers take for the homes of a service, by a hash, where no program is known.
 const HOMES: usize = 2;
-/// A home is taken to hold the program with this chance.
-const AT_HOME: f64 = 0.9;
-/// Points of the result that messages may cost.
-const TELL_SPEND: f64 = 0.004;
+const AT_HOME: f64 = 0.9; // A home is taken to hold the program with this chance.
+const TELL_SPEND: f64 = 0.004; // Points of the result that messages may cost.
 /// What others told of a program holds for this many mean lives, and is told again after half of that.
 const HEARD: f64 = 2.0;
-/// And for this long at least, as lives are unknown at first.
-const HEARD_LEAST: Seconds = 10.0;
+const HEARD_LEAST: Seconds = 10.0; // And for this long at least, as lives are unknown at first.
 /// The mark of a program whose last task has ended, and how long a machine is trusted to keep it then.
 const GONE: u32 = 1 << 31;
 const KEPT_FOR: Seconds = 2.0;
-/// Seconds of one warm start before any was seen.
-const START: f64 = 0.2;
-/// Programs that a machine is trusted to keep after their last task of ours.
-const KEPT: usize = 4;
-/// Share of the aim within which a start should be foreseen.
-const IN_TIME: f64 = 0.7;
-/// Lists and reports speak of a moment about this long ago.
-const VIEW_LAG: Seconds = 1.0;
+const START: f64 = 0.2; // Seconds of one warm start before any was seen.
+const KEPT: usize = 4; // Programs that a machine is trusted to keep after their last task of ours.
+const IN_TIME: f64 = 0.7; // Share of the aim within which a start should be foreseen.
+const VIEW_LAG: Seconds = 1.0; // Lists and reports speak of a moment about this long ago.
 /// An offer unanswered for this many usual answers, and this long, means the machine is silent.
 const SILENT: f64 = 5.0;
 const SILENT_MIN: Seconds = 0.25;
@@ -62,26 +54,23 @@
 const SICK: f64 = 0.5;
 const ASIDE: Seconds = 1.0;
 const ASIDE_MOST: Seconds = 8.0;
-/// A refusal tells that a machine is full for about this long.
-const FULL_FOR: Seconds = 0.5;
-/// And for at most this long when it goes on refusing.
-const FULL_MOST: Seconds = 4.0;
-/// Offers that may be in line at a machine before its line was ever seen full.
-const LINE: f64 = 6.0;
+const FULL_FOR: Seconds = 0.5; // A refusal tells that a machine is full for about this long.
+const FULL_MOST: Seconds = 4.0; // And for at most this long when it goes on refusing.
+const LINE: f64 = 6.0; // Offers that may be in line at a machine before its line was ever seen full.
 /// Final answers that nothing forces earlier go out this long before the deadline.
 const LEEWAY: Seconds = 0.03;
-/// Held tasks are looked at again at least this often.
-const AGAIN: Seconds = 0.05;
-/// And more rarely from about this many on.
-const CROWDED: f64 = 200.0;
+const AGAIN: Seconds = 0.05; // Held tasks are looked at again at least this often.
+const CROWDED: f64 = 200.0; // And more rarely from about this many on.
 /// First pause before asking for the list again, doubling, drawn from half to whole.
 const ASK_AGAIN: Seconds = 0.8;
-/// A call for the list that has brought nothing for this long counts as failed.
-const ASK_LOST: Seconds = 6.0;
-/// Points of the result that probes may cost.
-const PROBE_SPEND: f64 = 0.001;
-/// A report older than this is worth a probe.
-const STALE: Seconds = 1.0;
+const ASK_LOST: Seconds = 6.0; // A call for the list that has brought nothing for this long has failed.
+const PROBE_SPEND: f64 = 0.001; // Points of the result that probes may cost.
+const RATE_OVER: Seconds = 5.0; // The rate of tasks is taken over about this long.
+const SETTLED: Seconds = 4.0; // Memory of what a task uses grows for some seconds after its start.
+/// A start may take this much longer than the soonest, and cold machines' windows are taken this much longer.
+const SLACK: f64 = 1.25;
+const TOLD_MOST: usize = 20_000; // From this many told programs on, old ones are forgotten.
+const STALE: Seconds = 1.0; // A report older than this is worth a probe.
 
 #[derive(Clone, Copy, PartialEq, Debug, Default)]
 enum State {
@@ -157,6 +146,12 @@
         }
         self.lagged_at = now;
     }
+    /// A start that is over, for better or worse: when it was sent and the work up to it.
+    fn start_over(&mut self, id: TaskId, weight: f64) -> Option<(Seconds, f64)> {
+        let start = self.starting.remove(&id)?;
+        self.start_work = if self.starting.is_empty() { 0.0 } else { (self.start_work - weight).max(0.0) };
+        Some(start)
+    }
     /// What the machine was seen to be asked for in all, a while ago: beyond our own, it is others'.
     fn see_asked(&mut self, now: Seconds, seen: [Option<f64>; 2]) {
         self.lag(now);
@@ -168,44 +163,64 @@
     }
 }
 
-/// Running means over the tasks that came: their number, work, cores, memory and life.
+/// Running means over the tasks that came: their number, work, cores, memory, life and rate.
 #[derive(Debug, Default)]
 struct Means {
     seen: f64,
     work: f64,
-    cores: f64,
-    memory: f64,
+    asked: [f64; 2],
     life: f64,
+    rate: f64,
+    rate_at: Seconds,
 }
 
 /// Decides for one scheduler. It knows what its events told it, nothing else.
 #[derive(Debug)]
 pub struct Scheduler {
-    set: Settings,
+    settings: Settings,
     rng: rand_pcg::Pcg32,
     jobs: BTreeMap<TaskId, Job>,
-    /// Tasks to place now, and tasks that found no machine and are tried again from `retry_at`.
+    /// Tasks to place now, and tasks that candidates no machine and are tried again from `retry_at`.
     fresh: Vec<TaskId>,
     held: Vec<TaskId>,
     retry_at: Seconds,
     machines: BTreeMap<MachineId, Machine>,
     spread: BTreeMap<(ServiceId, MachineId), u32>,
-    /// Programs that others told of, and those we told of: the low halves of service and machine, and when.
-    heard: BTreeMap<(u32, u32), Seconds>,
-    told: BTreeMap<(u32, u32), Seconds>,
-    to_tell: Vec<(u32, u32)>,
+    programs: Programs,
     expiry: BTreeSet<(u64, TaskId)>,
     mean: Means,
     used: [f64; 2],
-    answer: f64,
+    answer: Option<f64>,
     starts: [Option<f64>; 2],
-    rate: f64,
-    rate_at: Seconds,
     next_wake: Seconds,
+    list: List,
+}
+
+/// Programs that others told of, and those we told of: the low halves of service and machine, and when.
+#[derive(Debug, Default)]
+struct Programs {
+    heard: BTreeMap<(u32, u32), Seconds>,
+    told: BTreeMap<(u32, u32), Seconds>,
+    to_tell: Vec<(u32, u32)>,
+}
+
+/// The standing with the list of machines: a call that is out, when the next may go, failures in a row.
+#[derive(Debug, Default)]
+struct List {
     subscribed: bool,
     asked_at: Option<Seconds>,
     ask_at: Seconds,
-    ask_fails: i32,
+    fails: i32,
+}
+
+/// A pause that doubles with each failure in a row.
+fn doubled(first: Seconds, failures: i32, most: Seconds) -> Seconds {
+    (first * 2f64.powi(failures)).min(most)
+}
+
+/// Moves a running mean, or sets it at the first observation.
+fn learn(mean: &mut Option<f64>, seen: f64, weight: f64) {
+    *mean = Some(mean.map_or(seen, |mean| mean + (seen - mean) * weight));
 }
 
 fn micros(t: Seconds) -> u64 {
@@ -220,15 +235,15 @@
     let mut near: Vec<usize> = if least + work < THRESHOLD * mean_work {
         (0..backlogs.len()).filter(|&i| backlogs[i] <= least + margin).collect()
     } else {
-        let mut few: Vec<usize> = (0..backlogs.len()).collect();
-        for i in 0..FEW.min(few.len()) {
-            let j = rng.random_range(i..few.len());
-            few.swap(i, j);
-        }
-        few.truncate(FEW);
-        let longest = few.iter().map(|&i| backlogs[i]).fold(0.0, f64::max);
-        few.retain(|&i| backlogs[i] >= longest - margin);
-        few
+        let mut sample: Vec<usize> = (0..backlogs.len()).collect();
+        for i in 0..SAMPLE.min(sample.len()) {
+            let j = rng.random_range(i..sample.len());
+            sample.swap(i, j);
+        }
+        sample.truncate(SAMPLE);
+        let longest = sample.iter().map(|&i| backlogs[i]).fold(0.0, f64::max);
+        sample.retain(|&i| backlogs[i] >= longest - margin);
+        sample
     };
     if near.is_empty() {
         near.push(0);
@@ -242,28 +257,21 @@
         settings.check()?;
         Ok(Self {
             rng: rand_pcg::Pcg32::seed_from_u64(seed),
-            used: USED,
-            rate_at: 0.0,
-            next_wake: f64::INFINITY,
-            subscribed: !settings.subscribe,
-            set: settings,
             jobs: BTreeMap::new(),
             fresh: Vec::new(),
             held: Vec::new(),
             retry_at: f64::INFINITY,
             machines: BTreeMap::new(),
             spread: BTreeMap::new(),
-            heard: BTreeMap::new(),
-            told: BTreeMap::new(),
-            to_tell: Vec::new(),
+            programs: Programs::default(),
             expiry: BTreeSet::new(),
             mean: Means::default(),
-            answer: 0.0,
+            used: USED,
+            answer: None,
             starts: [None; 2],
-            rate: 0.0,
-            asked_at: None,
-            ask_at: 0.0,
-            ask_fails: 0,
+            next_wake: f64::INFINITY,
+            list: List { subscribed: !settings.subscribe, ..List::default() },
+            settings,
         })
     }
 
@@ -305,7 +313,7 @@
                 self.count(now, id);
             }
             Event::Confirmed { task, attempt } => {
-                let running = self.set.confirm_when_running;
+                let running = self.settings.confirm_when_running;
                 let Some(job) = self.jobs.get_mut(&task) else { return };
                 if job.state != State::Out || attempt + 1 != job.sends {
                     return;
@@ -316,12 +324,12 @@
                     m.unanswered.remove(&task);
                     m.refusals = 0;
                     m.line += 1.0 / m.line;
-                    m.fail *= 1.0 - QUICK;
+                    m.fail *= 1.0 - STATE_WEIGHT;
                 }
                 if running {
                     self.started(now, task);
                 } else {
-                    self.answer += (wait - self.answer) * if self.answer == 0.0 { 1.0 } else { 0.05 };
+                    learn(&mut self.answer, wait, ANSWER_WEIGHT);
                 }
             }
             Event::Note { task, note } => self.note(now, task, note),
@@ -341,11 +349,11 @@
             Event::ListChanges(list) => self.take_list(now, list, false),
             Event::ListWhole(list) => self.take_list(now, list, true),
             Event::ListFailed => {
-                (self.subscribed, self.asked_at) = (!self.set.subscribe, None);
-                let most = (self.set.safety.ask_within / 2.0).max(ASK_AGAIN);
-                let pause = (ASK_AGAIN * 2f64.powi(self.ask_fails)).min(most);
-                self.ask_at = now + pause * self.rng.random_range(0.5..1.0);
-                self.ask_fails = (self.ask_fails + 1).min(16);
+                let most = (self.settings.safety.ask_within / 2.0).max(ASK_AGAIN);
+                let pause = doubled(ASK_AGAIN, self.list.fails, most) * self.rng.random_range(0.5..1.0);
+                let fails = self.list.fails + 1;
+                let subscribed = !self.settings.subscribe;
+                self.list = List { subscribed, asked_at: None, ask_at: now + pause, fails };
             }
             Event::Heard(bytes) => {
                 for pair in bytes.chunks_exact(8) {
@@ -353,13 +361,13 @@
                         |i: usize| u32::from_le_bytes([pair[i], pair[i + 1], pair[i + 2], pair[i + 3]]);
                     let (pair, gone) = ((half(0), half(4) & !GONE), half(4) & GONE != 0);
                     let until = now + if gone { KEPT_FOR } else { HEARD_LEAST.max(HEARD * self.mean.life) };
-                    self.heard.insert(pair, until);
+                    self.programs.heard.insert(pair, until);
                 }
             }
             Event::Probed { machine, report } => {
                 if let Some(m) = self.machines.get_mut(&machine) {
                     if report.is_none() {
-                        m.fail += (1.0 - m.fail) * QUICK;
+                        m.fail += (1.0 - m.fail) * STATE_WEIGHT;
                     }
                     m.probe_at = now;
                 }
@@ -370,22 +378,22 @@
 
     fn learn_task(&mut self, now: Seconds, task: &Task) {
         self.mean.seen += 1.0;
-        let by = (1.0 / self.mean.seen).max(SLOW);
-        let life = task.life.unwrap_or(self.mean.life);
-        self.mean.life += (life - self.mean.life) * by;
-        self.mean.work += (life * task.cores - self.mean.work) * by;
-        self.mean.cores += (task.cores - self.mean.cores) * by;
-        self.mean.memory += (task.memory - self.mean.memory) * by;
-        self.rate = 0.2 + self.rate * (-(now - self.rate_at) / 5.0).exp();
-        self.rate_at = now;
+        let (by, mean) = ((1.0 / self.mean.seen).max(MEAN_WEIGHT), &mut self.mean);
+        let life = task.life.unwrap_or(mean.life);
+        mean.life += (life - mean.life) * by;
+        mean.work += (life * task.cores - mean.work) * by;
+        mean.asked[0] += (task.cores - mean.asked[0]) * by;
+        mean.asked[1] += (task.memory - mean.asked[1]) * by;
+        mean.rate = 1.0 / RATE_OVER + mean.rate * (-(now - mean.rate_at) / RATE_OVER).exp();
+        mean.rate_at = now;
     }
 
     fn note(&mut self, now: Seconds, id: TaskId, note: Note) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let settled = job.state == State::Bound && now - job.sent_at > 4.0;
+        let settled = job.state == State::Bound && now - job.sent_at > SETTLED;
         let learn = |mean: &mut f64, level: f64, asked: f64| {
             if settled && asked > 0.0 && level.is_finite() {
-                *mean += ((level / asked).clamp(0.0, 3.0) - *mean) * SLOW;
+                *mean += ((level / asked).clamp(0.0, 3.0) - *mean) * MEAN_WEIGHT;
             }
         };
         match note {
@@ -400,15 +408,12 @@
     fn started(&mut self, now: Seconds, id: TaskId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(m) = self.machines.get_mut(&job.machine) else { return };
-        let Some((at, work)) = m.starting.remove(&id) else { return };
-        m.start_work = if m.starting.is_empty() { 0.0 } else { (m.start_work - job.start_weight).max(0.0) };
-        (m.strikes, m.fail) = (0, m.fail * (1.0 - QUICK));
+        let Some((at, work)) = m.start_over(id, job.start_weight) else { return };
+        (m.strikes, m.fail) = (0, m.fail * (1.0 - STATE_WEIGHT));
         let took = (now - at).max(0.0);
-        let unit = took / work.max(1.0);
-        m.unit = Some(m.unit.map_or(unit, |u| u + (unit - u) * QUICK));
+        learn(&mut m.unit, took / work.max(1.0), STATE_WEIGHT);
         if work == job.start_weight {
-            let mean = &mut self.starts[usize::from(!job.warm)];
-            *mean = Some(mean.map_or(took, |v| v + (took - v) * 0.05));
+            learn(&mut self.starts[usize::from(!job.warm)], took, ANSWER_WEIGHT);
         }
     }
 
@@ -430,8 +435,8 @@
             // Any other refusal holds a while, longer when it goes on: full, leaving before the list tells,
             // or refusing for a reason that nobody names. Harm: a machine that has room again waits.
             Ending::Full(_) | Ending::Broken(Why::SentAway) => {
-                m.full_until = now + (FULL_FOR * 2f64.powi(m.refusals)).min(FULL_MOST);
-                m.refusals = (m.refusals + 1).min(8);
+                m.full_until = now + doubled(FULL_FOR, m.refusals, FULL_MOST);
+                m.refusals += 1;
                 if m.refusals > 1 {
                     m.line = 1.0;
                 }
@@ -441,15 +446,15 @@
             // off or returning errors; what matters is the share of them. Harm: an error of the task itself
             // counts against its machine, so a few never set it aside.
             Ending::Failed | Ending::Late | Ending::NoConnection | Ending::Broken(_) => {
-                m.fail += (1.0 - m.fail) * if ending == Ending::NoConnection { SICK } else { QUICK };
+                m.fail += (1.0 - m.fail) * if ending == Ending::NoConnection { SICK } else { STATE_WEIGHT };
                 if matches!(ending, Ending::NoConnection | Ending::Broken(_)) {
                     // It may have died: the list tells late, so it counts as cold once it answers again.
-                    m.cold_until = now + self.set.safety.cold;
+                    m.cold_until = now + self.settings.safety.cold;
                     m.programs.clear();
                 }
                 if m.fail >= SICK && now >= m.aside_until {
-                    m.aside_until = now + (ASIDE * 2f64.powi(m.strikes)).min(ASIDE_MOST);
-                    m.strikes = (m.strikes + 1).min(8);
+                    m.aside_until = now + doubled(ASIDE, m.strikes, ASIDE_MOST);
+                    m.strikes += 1;
                 }
             }
         }
@@ -473,33 +478,33 @@
         m.report_at = now;
         let size = m.size;
         let taken = [report.free_cores.map(|f| size[0] - f), report.free_memory.map(|f| size[1] - f)];
-        if self.set.reports_use {
+        if self.settings.reports_use {
             m.lag(now);
             for i in 0..2 {
                 let asked = m.lagged[i] + m.others[i];
                 let Some(taken) = taken[i].filter(|_| asked > 0.1 * size[i]) else { continue };
                 let ratio = (taken / asked).clamp(0.1, 2.0);
-                m.used[i] = Some(m.used[i].map_or(ratio, |u| u + (ratio - u) * QUICK));
-                self.used[i] += (ratio - self.used[i]) * SLOW;
+                learn(&mut m.used[i], ratio, STATE_WEIGHT);
+                self.used[i] += (ratio - self.used[i]) * MEAN_WEIGHT;
             }
         } else {
             m.see_asked(now, taken);
             if let Some(busy) = report.busy.filter(|_| m.asked(0) > 0.1 * size[0]) {
                 let ratio = (busy * size[0] / m.asked(0)).clamp(0.1, 2.0);
-                m.used[0] = Some(m.used[0].map_or(ratio, |u| u + (ratio - u) * QUICK));
+                learn(&mut m.used[0], ratio, STATE_WEIGHT);
             }
         }
     }
 
     fn take_list(&mut self, now: Seconds, list: Vec<Entry>, whole: bool) {
-        (self.asked_at, self.ask_fails) = (None, 0);
+        (self.list.asked_at, self.list.fails) = (None, 0);
         if whole {
             self.machines.values_mut().for_each(|m| m.leaving = true);
         }
         for e in list {
             let m = self.machines.entry(e.machine).or_default();
             m.line = if m.listed { m.line } else { LINE };
-            let Some(kind) = self.set.kinds.get(e.kind) else { continue };
+            let Some(kind) = self.settings.kinds.get(e.kind) else { continue };
             m.size = [kind.cores, kind.memory];
             (m.listed, m.kind, m.cell, m.zone) = (true, e.kind, e.cell, e.zone);
             m.leaving = e.standing != Standing::Ready;
@@ -507,7 +512,7 @@
                 m.programs.clear();
             }
             m.up_since = e.up_since;
-            if self.set.lists_free {
+            if self.settings.lists_free {
                 m.see_asked(now, [Some(kind.cores - e.free_cores), Some(kind.memory - e.free_memory)]);
             }
         }
@@ -522,9 +527,9 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         *self.spread.entry((job.task.service, job.machine)).or_default() += 1;
         let pair = pair(job.task.service, job.machine);
-        if self.told.get(&pair).is_none_or(|&at| now - at > HEARD * mean_life / 2.0) {
-            self.told.insert(pair, now);
-            self.to_tell.push(pair);
+        if self.programs.told.get(&pair).is_none_or(|&at| now - at > HEARD * mean_life / 2.0) {
+            self.programs.told.insert(pair, now);
+            self.programs.to_tell.push(pair);
         }
         let m = self.machines.entry(job.machine).or_default();
         m.lag(now);
@@ -570,18 +575,15 @@
             (m.own, m.core_sum, m.end_sum) = ([0.0; 2], 0.0, 0.0);
         }
         m.unanswered.remove(&id);
-        if m.starting.remove(&id).is_some() {
-            m.start_work =
-                if m.starting.is_empty() { 0.0 } else { (m.start_work - job.start_weight).max(0.0) };
-        }
+        m.start_over(id, job.start_weight);
         let key = (job.task.service, job.machine);
         if let Some(n) = self.spread.get_mut(&key) {
             *n -= 1;
             if *n == 0 {
                 self.spread.remove(&key);
                 let pair = pair(key.0, key.1);
-                self.told.remove(&pair);
-                self.to_tell.push((pair.0, pair.1 | GONE));
+                self.programs.told.remove(&pair);
+                self.programs.to_tell.push((pair.0, pair.1 | GONE));
                 m.programs.retain(|&p| p != key.0);
                 m.programs.push_back(key.0);
                 if m.programs.len() > KEPT {
@@ -593,15 +595,15 @@
 
     /// Offers that this scheduler may make to a cold machine within how long: its part of what all may.
     fn cold_budget(&self) -> (usize, Seconds) {
-        let part = self.set.safety.cold_bears / self.set.schedulers as f64;
-        let window = self.set.safety.overload_for * 1.25;
+        let part = self.settings.safety.cold_bears / self.settings.schedulers as f64;
+        let window = self.settings.safety.overload_for * SLACK;
         if part >= 1.0 { (part as usize, window) } else { (1, window / part.max(1e-3)) }
     }
 
     /// The one gate: the five rules, for one more send of this task to this machine.
     fn gate(&self, now: Seconds, job: &Job, id: MachineId, m: &Machine) -> bool {
-        let class = &self.set.classes[job.task.class];
-        let owed = job.state == State::Held && job.sends < self.set.max_attempts;
+        let class = &self.settings.classes[job.task.class];
+        let owed = job.state == State::Held && job.sends < self.settings.max_attempts;
         let in_time = now + LEEWAY < job.task.deadline;
         let here = m.listed && !m.leaving && class.kind.is_none_or(|k| k == m.kind);
         if !owed || !in_time || !here {
@@ -617,7 +619,7 @@
         if !once {
             return false;
         }
-        if cold(m, &self.set, now) {
+        if cold(m, &self.settings, now) {
             let (most, window) = self.cold_budget();
             if m.offers.iter().filter(|&&at| at > now - window).count() >= most {
                 return false;
@@ -662,18 +664,18 @@
     fn warm(&self, now: Seconds, service: ServiceId, id: MachineId, m: &Machine) -> bool {
         m.programs.contains(&service)
             || self.spread.contains_key(&(service, id))
-            || self.heard.get(&pair(service, id)).is_some_and(|&until| now < until)
+            || self.programs.heard.get(&pair(service, id)).is_some_and(|&until| now < until)
     }
 
     /// Whether the machine would admit the task, and how crowded that would leave it: up to 1 all are served
     /// well, above 1 the task lacks cores or memory; `None` where it should not be offered at all.
     fn crowding(&self, now: Seconds, job: &Job, m: &Machine) -> Option<f64> {
-        let (class, task) = (&self.set.classes[job.task.class], &job.task);
+        let (class, task) = (&self.settings.classes[job.task.class], &job.task);
         let use_of = |i: usize| m.used[i].unwrap_or(self.used[i]).max(0.05);
         let asked = [(m.asked(0) + task.cores) / m.size[0], (m.asked(1) + task.memory) / m.size[1]];
         let used = [asked[0] * use_of(0), asked[1] * use_of(1)];
-        let admitted = asked[0] <= self.set.admit_cores * ADMIT_FULL
-            && asked[1] <= self.set.admit_memory * ADMIT_FULL
+        let admitted = asked[0] <= self.settings.admit_cores * ADMIT_FULL
+            && asked[1] <= self.settings.admit_memory * ADMIT_FULL
             && used[0] <= class.calm + STRETCH * class.fade
             && used[1] <= MEMORY_MOST;
         (now >= m.full_until && admitted)
@@ -681,15 +683,15 @@
     }
 
     fn backlog(&self, now: Seconds, m: &Machine) -> f64 {
-        let lanes_cores = m.size[0] / (self.used[0] * self.mean.cores).max(1e-6);
-        let lanes_memory = MEMORY_FULL * m.size[1] / (self.used[1] * self.mean.memory).max(1e-6);
+        let lanes_cores = m.size[0] / (self.used[0] * self.mean.asked[0]).max(1e-6);
+        let lanes_memory = MEMORY_FULL * m.size[1] / (self.used[1] * self.mean.asked[1]).max(1e-6);
         let others = m.others[0] * self.mean.life;
         ((m.end_sum - now * m.core_sum).max(0.0) + others) / lanes_cores.min(lanes_memory).max(1.0)
     }
 
     fn pick(&mut self, now: Seconds, id: TaskId) -> Option<MachineId> {
         let job = &self.jobs[&id];
-        let mut found: Vec<(MachineId, &Machine, f64)> = self
+        let mut candidates: Vec<(MachineId, &Machine, f64)> = self
             .machines
             .iter()
             .filter(|&(&mid, m)| self.gate(now, job, mid, m))
@@ -698,21 +700,21 @@
             .filter(|(_, m, _)| now >= m.aside_until && (m.fail < SICK || m.starting.is_empty()))
             .filter(|(_, m, _)| (m.unanswered.len() as f64) < m.line)
             .collect();
-        let silent = (SILENT * self.answer).max(SILENT_MIN);
-        narrow(&mut found, |(mid, ..)| !job.tried.contains(mid));
-        narrow(&mut found, |(_, m, _)| m.unanswered.values().next().is_none_or(|at| now - at < silent));
-        let least = found.iter().map(|f| f.2).fold(f64::INFINITY, f64::min);
-        narrow(&mut found, |f| f.2 <= 1f64.max(least + CROWD));
-        if self.set.prices.machines > 0.0 {
-            narrow(&mut found, |(_, m, _)| m.asked(0) > 0.0);
+        let silent = (SILENT * self.answer.unwrap_or(0.0)).max(SILENT_MIN);
+        narrow(&mut candidates, |(mid, ..)| !job.tried.contains(mid));
+        narrow(&mut candidates, |(_, m, _)| m.unanswered.values().next().is_none_or(|at| now - at < silent));
+        let least = candidates.iter().map(|f| f.2).fold(f64::INFINITY, f64::min);
+        narrow(&mut candidates, |f| f.2 <= 1f64.max(least + CROWD));
+        if self.settings.prices.machines > 0.0 {
+            narrow(&mut candidates, |(_, m, _)| m.asked(0) > 0.0);
         }
         // Where no program is known, all schedulers prefer the same few machines for a service, as others'
         // programs are not seen. Where a home is crowded, silent or barred, the next takes its place. Harm: a
         // popular service fills its homes first.
         let service = job.task.service;
-        let mut ranks: Vec<u64> = found.iter().map(|f| rank(service, f.0)).collect();
+        let mut ranks: Vec<u64> = candidates.iter().map(|f| rank(service, f.0)).collect();
         ranks.sort_unstable();
-        let known = found.iter().any(|f| self.warm(now, service, f.0, f.1));
+        let known = candidates.iter().any(|f| self.warm(now, service, f.0, f.1));
         let home = ranks.get(HOMES - 1).filter(|_| !known).copied().unwrap_or(0);
         let start = |f: &(MachineId, &Machine, f64)| {
             let program = if known && self.warm(now, service, f.0, f.1) {
@@ -724,19 +726,19 @@
             };
             self.start_in(now, f.1, program)
         };
-        let soonest = found.iter().map(start).fold(f64::INFINITY, f64::min);
-        let aim = self.set.classes[job.task.class].aim * IN_TIME;
-        narrow(&mut found, |f| start(f) <= aim.max(soonest * 1.25));
-        if found.is_empty() {
+        let soonest = candidates.iter().map(start).fold(f64::INFINITY, f64::min);
+        let aim = self.settings.classes[job.task.class].aim * IN_TIME;
+        narrow(&mut candidates, |f| start(f) <= aim.max(soonest * SLACK));
+        if candidates.is_empty() {
             return None;
         }
-        let known: Vec<f64> = found.iter().map(|(_, m, _)| self.backlog(now, m)).collect();
+        let known: Vec<f64> = candidates.iter().map(|(_, m, _)| self.backlog(now, m)).collect();
         let mean = known.iter().sum::<f64>() / known.len() as f64;
-        let new = |m: &Machine| m.tasks == 0 || cold(m, &self.set, now);
+        let new = |m: &Machine| m.tasks == 0 || cold(m, &self.settings, now);
         let backlogs: Vec<f64> =
-            found.iter().zip(&known).map(|((_, m, _), &b)| if new(m) { mean } else { b }).collect();
+            candidates.iter().zip(&known).map(|((_, m, _), &b)| if new(m) { mean } else { b }).collect();
         let work = job.task.life.map_or(self.mean.work, |life| life * job.task.cores);
-        let ids: Vec<MachineId> = found.iter().map(|f| f.0).collect();
+        let ids: Vec<MachineId> = candidates.iter().map(|f| f.0).collect();
         Some(ids[dice(&backlogs, work, self.mean.work, &mut self.rng)])
     }
 
@@ -747,20 +749,20 @@
             held.append(&mut self.held);
             self.retry_at = f64::INFINITY;
         }
-        let classes = &self.set.classes;
+        let classes = &self.settings.classes;
         held.sort_by(|a, b| {
             let worth = |id: &TaskId| self.jobs.get(id).map_or(0.0, |j| classes[j.task.class].worth);
             worth(b).total_cmp(&worth(a)).then(a.cmp(b))
         });
         for id in held {
             let Some(job) = self.jobs.get(&id) else { continue };
-            let effect = self.set.classes[job.task.class].effect;
+            let effect = self.settings.classes[job.task.class].effect;
             let barred = job.may_run.is_some_and(|(at, _)| match effect {
                 Effect::Safe => false,
                 Effect::Unsafe => true,
                 Effect::Keyed { window, .. } => now + LEEWAY >= at + window,
             });
-            if barred || job.sends >= self.set.max_attempts || now + LEEWAY >= job.task.deadline {
+            if barred || job.sends >= self.settings.max_attempts || now + LEEWAY >= job.task.deadline {
                 self.finish(id, out);
             } else if let Some(machine) = self.pick(now, id) {
                 self.send(now, id, machine, out);
@@ -774,13 +776,13 @@
 
     fn send(&mut self, now: Seconds, id: TaskId, machine: MachineId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let class = &self.set.classes[job.task.class];
+        let class = &self.settings.classes[job.task.class];
         let usual = match class.effect {
-            _ if self.set.confirm_when_running => class.deadline / 2.0,
+            _ if self.settings.confirm_when_running => class.deadline / 2.0,
             Effect::Unsafe => class.deadline / 2.0,
             _ => class.aim,
         };
-        let wait = usual.max(SILENT * self.answer).min(job.task.deadline - now - LEEWAY / 2.0);
+        let wait = usual.max(SILENT * self.answer.unwrap_or(0.0)).min(job.task.deadline - now - LEEWAY / 2.0);
         (job.state, job.sent_at, job.machine) = (State::Out, now, machine);
         job.sends += 1;
         self.count(now, id);
@@ -798,7 +800,7 @@
     fn finish(&mut self, id: TaskId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.remove(&id) else { return };
         let harmless = job.may_run.is_none()
-            || match self.set.classes[job.task.class].effect {
+            || match self.settings.classes[job.task.class].effect {
                 Effect::Safe => true,
                 Effect::Keyed { group, .. } => group == Place::All,
                 Effect::Unsafe => false,
@@ -810,39 +812,45 @@
     /// programs are seen nowhere. Where messages are barred or dear, homes must do. Harm: a program that is
     /// gone draws some starts until what was told has aged.
     fn tell(&mut self, now: Seconds, out: &mut Vec<Action>) {
-        let bytes: Vec<u8> =
-            self.to_tell.drain(..).flat_map(|p| [p.0.to_le_bytes(), p.1.to_le_bytes()]).flatten().collect();
-        let share = (self.set.schedulers - 1) as f64 * 8.0 / 256.0;
-        if self.set.messages && share > 0.0 && self.set.prices.message * share <= TELL_SPEND {
+        let bytes: Vec<u8> = self
+            .programs
+            .to_tell
+            .drain(..)
+            .flat_map(|p| [p.0.to_le_bytes(), p.1.to_le_bytes()])
+            .flatten()
+            .collect();
+        let share = (self.settings.schedulers - 1) as f64 * 8.0 / 256.0;
+        if self.settings.messages && share > 0.0 && self.settings.prices.message * share <= TELL_SPEND {
             out.extend(bytes.chunks(256).map(|part| Action::Tell(part.to_vec())));
         }
-        if self.heard.len() + self.told.len() > 20_000 {
-            self.heard.retain(|_, until| now < *until);
-            self.told.retain(|_, at| now - *at < HEARD * self.mean.life);
+        if self.programs.heard.len() + self.programs.told.len() > TOLD_MOST {
+            self.programs.heard.retain(|_, until| now < *until);
+            self.programs.told.retain(|_, at| now - *at < HEARD * self.mean.life);
         }
     }
 
     fn keep_list(&mut self, now: Seconds, out: &mut Vec<Action>) {
-        if self.asked_at.is_some_and(|at| now - at > ASK_LOST) {
-            (self.subscribed, self.asked_at, self.ask_at) = (false, None, now);
+        let list = &mut self.list;
+        if list.asked_at.is_some_and(|at| now - at > ASK_LOST) {
+            (list.subscribed, list.asked_at, list.ask_at) = (false, None, now);
         }
-        if self.subscribed || now < self.ask_at {
-            return;
+        if !list.subscribed && now >= list.ask_at {
+            (list.subscribed, list.asked_at) = (true, Some(now));
+            out.push(Action::Subscribe);
         }
-        (self.subscribed, self.asked_at) = (true, Some(now));
-        out.push(Action::Subscribe);
     }
 
     /// Probes the machine whose report is oldest, as often as the price allows.
     fn probe(&mut self, now: Seconds, out: &mut Vec<Action>) {
-        if !self.set.probes || self.set.reports == Reports::None {
+        if !self.settings.probes || self.settings.reports == Reports::None {
             return;
         }
-        let spend = if self.set.prices.probe > 0.0 { PROBE_SPEND / self.set.prices.probe } else { 1.0 };
-        let each = (self.machines.len() as f64 / (self.rate * spend).max(0.1)).max(STALE);
+        let spend =
+            if self.settings.prices.probe > 0.0 { PROBE_SPEND / self.settings.prices.probe } else { 1.0 };
+        let each = (self.machines.len() as f64 / (self.mean.rate * spend).max(0.1)).max(STALE);
         for (&id, m) in &mut self.machines {
             let due = now - m.report_at.max(m.probe_at) >= each;
-            if due && m.listed && !m.leaving && !cold(m, &self.set, now) {
+            if due && m.listed && !m.leaving && !cold(m, &self.settings, now) {
                 m.probe_at = now;
                 out.push(Action::Probe(id));
             }
@@ -850,11 +858,11 @@
     }
 
     fn wake(&mut self, now: Seconds, out: &mut Vec<Action>) {
-        let mut at = if self.set.probes { now + STALE / 2.0 } else { f64::INFINITY };
-        if let Some(asked) = self.asked_at {
+        let mut at = if self.settings.probes { now + STALE / 2.0 } else { f64::INFINITY };
+        if let Some(asked) = self.list.asked_at {
             at = at.min(asked + ASK_LOST + 0.01);
-        } else if !self.subscribed {
-            at = at.min(self.ask_at);
+        } else if !self.list.subscribed {
+            at = at.min(self.list.ask_at);
         }
         at = at.min(self.retry_at);
         if at.is_finite() && at < self.next_wake {
@@ -870,8 +878,8 @@
     (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93)
 }
 
-fn cold(m: &Machine, set: &Settings, now: Seconds) -> bool {
-    m.up_since.is_some_and(|up| now < up + set.safety.cold) || now < m.cold_until
+fn cold(m: &Machine, settings: &Settings, now: Seconds) -> bool {
+    m.up_since.is_some_and(|up| now < up + settings.safety.cold) || now < m.cold_until
 }
 
 /// A service and a machine as schedulers tell each other of them.
@@ -880,8 +888,8 @@
 }
 
 /// Keeps what `good` likes, or all if it likes nothing.
-fn narrow<T>(found: &mut Vec<T>, good: impl Fn(&T) -> bool) {
-    if found.iter().any(&good) {
-        found.retain(good);
+fn narrow<T>(candidates: &mut Vec<T>, good: impl Fn(&T) -> bool) {
+    if candidates.iter().any(&good) {
+        candidates.retain(good);
     }
 }
