--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,8 +1,8 @@
 //! All decisions of tidespur. Types, events and actions: `src/interface.rs`.
 //!
 //! The path of a request: `step` first takes in all that was observed, then `place` takes what waits. `pick`
-//! keeps the machines that pass `gate` (the five rules) and have room (`crowding`), narrows these candidates by
-//! evidence of trouble, comfort and foreseen start, and lets [`dice`] (Xie, Hyytiä, Righter, "Size-Aware
+//! keeps the machines that pass `gate` (the five rules) and have room (`crowding`), narrows these candidates
+//! by evidence of trouble, comfort and foreseen start, and lets [`dice`] (Xie, Hyytiä, Righter, "Size-Aware
 //! Dispatching to Fluid Queues") choose among them; `send` offers the task. One that can't be placed ends in
 //! `finish`, or by an event that says it is over.
 
