--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,75 +1,70 @@
 //! All decisions of tidespur. Types, events and actions: `src/interface.rs`.
 //!
-//! The path of a request: `step` first takes in all that was observed, then `place` takes what waits. `pick`
-//! keeps the machines that pass `gate` (the five rules) and have room (`crowding`), narrows these candidates
-//! by evidence of trouble, comfort and foreseen start, and lets [`dice`] (Xie, Hyytiä, Righter, "Size-Aware
-//! Dispatching to Fluid Queues") choose among them; `send` offers the task. One that can't be placed ends in
-//! `finish`, or by an event that says it is over.
+//! The path of a request: `step` takes in what was observed, then `place` takes what waits. `pick` filters
+//! machines by `gate` (the five rules) and by what troubles stand against them, narrows these candidates to
+//! those that lose least (`loss`: late start, crowding, a machine kept in use), and lets [`dice`] choose
+//! (Xie, Hyytiä, Righter, "Size-Aware Dispatching to Fluid Queues"); `send` offers the task. One that can't
+//! be placed ends in `finish`, or by an event that says it is over.
 
 use crate::interface::*;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 
-/// Dice: backlog a lane plus work under this many mean works is short; the paper's six average jobs.
-const THRESHOLD: f64 = 6.0;
-/// Dice: backlogs within this many mean works of the best are alike, so schedulers don't hit one machine.
-const MARGIN: f64 = 0.15;
+const THRESHOLD: f64 = 6.0; // Dice: backlog plus work under six mean works is short, as in the paper.
+const MARGIN: f64 = 0.15; // Dice: backlogs within this many mean works of the best are alike.
 const SAMPLE: usize = 4; // Dice: longer work looks at this many machines with room.
-/// Running means move by this much for one observation once they have seen enough.
-const MEAN_WEIGHT: f64 = 0.01;
-const ANSWER_WEIGHT: f64 = 0.05; // Means of answers and starts by this much.
-const STATE_WEIGHT: f64 = 0.25; // And means that must follow a machine's state by this much.
-/// Before anything is seen: use of asked cores and memory; tasks ask for more than they use.
-const USED: [f64; 2] = [0.6, 0.75];
-/// Memory in use is planned up to this share: machines slow down and evict above.
-const MEMORY_FULL: f64 = 0.85;
+const MEAN_WEIGHT: f64 = 0.01; // Running means move by this much for one observation,
+const ANSWER_WEIGHT: f64 = 0.05; // those of answers and starts by this much,
+const STATE_WEIGHT: f64 = 0.25; // and those that must follow a machine's state by this much.
+const RATE_OVER: Seconds = 5.0; // The rate of tasks is taken over about this long.
+
+const GUESSED: f64 = 3.0; // What is taken before anything is seen counts as this many observations.
+const USED: [f64; 2] = [0.6, 0.75]; // Use of asked cores and memory before any was seen.
+const SETTLED: Seconds = 4.0; // Memory of what a task uses grows for some seconds after its start.
+const VIEW_LAG: Seconds = 1.0; // Lists and reports speak of a moment about this long ago.
+const VIEW_LEAST: f64 = 0.1; // Where less than this share of a machine is asked for, use can't be told.
 const CORES_FULL: f64 = 0.95; // Cores in use are planned up to this share of a class's calm: use swings.
-/// Where no machine has room in comfort, the least crowded may go this far into the fade of the class, and
-/// this full of memory: a crowded start is worth more than none.
-const STRETCH: f64 = 0.7;
-const MEMORY_MOST: f64 = 0.96;
-const CROWD: f64 = 0.05; // Then machines crowded within this of the least count as alike.
-/// Admission is planned up to this share of the machine's limit: views are late and a refusal costs.
-const ADMIT_FULL: f64 = 0.97;
-/// A start without the program is taken as this many starts with it until both were seen.
-const SETUP: f64 = 6.0;
-/// Machines that all schedulers take for the homes of a service, by a hash, where no program is known.
-const HOMES: usize = 2;
-const AT_HOME: f64 = 0.9; // A home is taken to hold the program with this chance.
+const MEMORY_FULL: f64 = 0.85; // And memory up to this: machines slow down and evict above.
+const ADMIT_FULL: f64 = 0.97; // Admission is planned up to this share: views are late and a refusal costs.
+const CROWDING: f64 = 3.0; // Service lost, by the task and by others, as a multiple of crowding.
+const IN_USE: f64 = 1.6; // Keeping a machine in use costs this share of the price of all, over a mean life.
+const WORKING: f64 = 0.95; // The working set is filled up to this share of comfort.
+const KEPT_OPEN: f64 = 0.2; // Machines of it count as this much fuller, so that it changes rarely.
+const MARGIN_LOSS: Seconds = 1.3; // Candidates that lose this much more than the best count as alike.
+
+const START: Seconds = 0.2; // One start with the program at hand, before any was seen,
+const SETUP: f64 = 6.0; // and how many times that one without it takes.
+const WITHOUT: f64 = 3.0; // A start that took this many usual ones was one without the program.
+const IN_TIME: f64 = 0.7; // From this share of the aim on a start may be late,
+const LATE_OVER: f64 = 0.6; // and over this share more that becomes sure.
+const HOMES: usize = 2; // Machines that all schedulers take for the homes of a service, by a hash.
+const AT_HOME: f64 = 0.9; // Each holds the program with this chance,
+const FALL: f64 = 0.7; // those after them with a chance that falls by this factor.
 const TELL_SPEND: f64 = 0.004; // Points of the result that messages may cost.
-/// What others told of a program holds for this many mean lives, and is told again after half of that.
-const HEARD: f64 = 2.0;
-const HEARD_LEAST: Seconds = 10.0; // And for this long at least, as lives are unknown at first.
-/// The mark of a program whose last task has ended, and how long a machine is trusted to keep it then.
-const GONE: u32 = 1 << 31;
-const KEPT_FOR: Seconds = 2.0;
-const START: f64 = 0.2; // Seconds of one warm start before any was seen.
-const KEPT: usize = 4; // Programs that a machine is trusted to keep after their last task of ours.
-const IN_TIME: f64 = 0.7; // Share of the aim within which a start should be foreseen.
-const VIEW_LAG: Seconds = 1.0; // Lists and reports speak of a moment about this long ago.
-/// An offer unanswered for this many usual answers, and this long, means the machine is silent.
-const SILENT: f64 = 5.0;
-const SILENT_MIN: Seconds = 0.25;
-/// Share of failures (running) from which a machine is set aside, and for how long, doubling.
-const SICK: f64 = 0.5;
-const ASIDE: Seconds = 1.0;
-const ASIDE_MOST: Seconds = 8.0;
-const FULL_FOR: Seconds = 0.5; // A refusal tells that a machine is full for about this long.
-const FULL_MOST: Seconds = 4.0; // And for at most this long when it goes on refusing.
-const LINE: f64 = 6.0; // Offers that may be in line at a machine before its line was ever seen full.
-/// Final answers that nothing forces earlier go out this long before the deadline.
-const LEEWAY: Seconds = 0.03;
-const AGAIN: Seconds = 0.05; // Held tasks are looked at again at least this often.
-const CROWDED: f64 = 200.0; // And more rarely from about this many on.
-/// First pause before asking for the list again, doubling, drawn from half to whole.
-const ASK_AGAIN: Seconds = 0.8;
+const HEARD_FOR: Seconds = 30.0; // What others told of a program holds for this long,
+const KEPT_FOR: Seconds = 3.0; // and a machine is trusted to keep one for this long after its last task.
+const GONE: u32 = 1 << 31; // Marks a program whose last task has ended.
+const KNOWN_MOST: usize = 10_000; // With more programs known than this, old ones are forgotten.
+
+const ANSWER: Seconds = 0.05; // Usual time to an answer before one was seen.
+const DEVIATIONS: f64 = 5.0; // An offer that takes the mean and this many mean deviations,
+const TIMEOUT_LEAST: Seconds = 0.15; // and this long at least, has timed out.
+const ASIDE: Seconds = 1.0; // A failure sets a machine aside until the next visit, for this long at least,
+const ASIDE_MOST: Seconds = 12.0; // then doubling, and for this long at most.
+const FULL_FOR: Seconds = 0.5; // A refusal tells that a machine is full for about this long, doubling,
+const FULL_MOST: Seconds = 4.0; // and for at most this long.
+const STRIKES_MOST: i32 = 16;
+const LINE: usize = 4; // Offers of ours that may be in line at a machine.
+const LINE_FOR: Seconds = 0.05; // A full line of offers holds for about this long at first.
+const COLD_PART: f64 = 0.5; // Of what cold machines bear, this part is used: chance may double it on one.
+const SLACK: f64 = 1.25; // The window in which they bear it is taken this much longer.
+
+const LEEWAY: Seconds = 0.03; // Final answers that nothing forces earlier go out so long before the deadline.
+const AGAIN: Seconds = 0.05; // Held tasks are looked at again at least this often,
+const CROWDED: f64 = 200.0; // and more rarely from about this many on.
+const ASK_AGAIN: Seconds = 0.8; // First pause before asking for the list again, drawn from half to whole.
 const ASK_LOST: Seconds = 6.0; // A call for the list that has brought nothing for this long has failed.
 const PROBE_SPEND: f64 = 0.001; // Points of the result that probes may cost.
-const RATE_OVER: Seconds = 5.0; // The rate of tasks is taken over about this long.
-const SETTLED: Seconds = 4.0; // Memory of what a task uses grows for some seconds after its start.
-/// A start may take this much longer than the soonest, and cold machines' windows are taken this much longer.
-const SLACK: f64 = 1.25;
-const TOLD_MOST: usize = 20_000; // From this many told programs on, old ones are forgotten.
 const STALE: Seconds = 1.0; // A report older than this is worth a probe.
 
 #[derive(Clone, Copy, PartialEq, Debug, Default)]
@@ -78,8 +73,7 @@
     Held,
     Out,
     Bound,
-    /// Nothing is owed, an outcome is still to come.
-    Over,
+    Over, // Nothing is owed, an outcome is still to come.
 }
 
 #[derive(Debug, Default)]
@@ -89,128 +83,186 @@
     sends: u32,
     sent_at: Seconds,
     machine: MachineId,
-    tried: Vec<MachineId>,
     /// First attempt that may have run: when it was sent and where.
     may_run: Option<(Seconds, MachineId)>,
-    /// When its hinted life runs out, while it counts in the backlog.
-    life_end: Option<Seconds>,
-    start_weight: f64,
     warm: bool,
 }
 
+/// What failed at a machine: for one class and tenant, or for all. After a pause that doubles with each
+/// failure one task at a time is let through, until one succeeds (a circuit breaker).
+#[derive(Debug)]
+struct Trouble {
+    whose: Option<(usize, usize)>,
+    strikes: i32,
+    until: Seconds,
+}
+
+/// What one of our tasks asks of its machine, and how far it has come.
+#[derive(Debug)]
+struct Load {
+    asked: [f64; 2],
+    ends: Seconds, // When its hinted life runs out.
+    sent_at: Seconds,
+    answered: bool,
+    runs: bool,
+    start: f64,       // Work of its start, alone
+    start_after: f64, // and with the starts before it.
+}
+
 #[derive(Debug, Default)]
 struct Machine {
-    listed: bool,
+    entry: Option<Entry>, // What the list tells of it.
     leaving: bool,
-    kind: usize,
-    cell: usize,
-    zone: usize,
     size: [f64; 2],
-    up_since: Option<Seconds>,
     cold_until: Seconds,
-    own: [f64; 2],
-    lagged: [f64; 2],
+    tasks: BTreeMap<TaskId, Load>, // Ours, offered or placed.
+    own: [f64; 2],                 // Cores and memory that they ask for,
+    lagged: [f64; 2],              // as they stood a view's lag before
     lagged_at: Seconds,
-    others: [f64; 2],
-    used: [Option<f64>; 2],
-    tasks: u32,
-    /// Backlog = end_sum - now * core_sum, over tasks whose hinted life has not run out.
-    core_sum: f64,
-    end_sum: f64,
-    unanswered: BTreeMap<TaskId, Seconds>,
-    /// Accepted, not known to run: when sent, with how much start work before and with it.
-    starting: BTreeMap<TaskId, (Seconds, f64)>,
-    start_work: f64,
-    unit: Option<f64>,
-    fail: f64,
-    strikes: i32,
-    aside_until: Seconds,
-    full_until: Seconds,
-    refusals: i32,
-    /// Offers that may wait there for an answer, learned from refusals.
-    line: f64,
-    offers: VecDeque<Seconds>,
-    programs: VecDeque<ServiceId>,
+    others: [f64; 2], // and those that others' tasks ask for.
+    used: [Mean; 2],  // Use of what is asked, where reports tell.
+    unit: Mean,       // Seconds for one unit of start work.
+    troubles: Vec<Trouble>,
+    offered_at: Seconds, // The last offer while it was cold.
     report_at: Seconds,
     probe_at: Seconds,
+    spare: bool, // Not needed for what runs now, where machines in use cost.
 }
 
 impl Machine {
+    fn strike(&mut self, now: Seconds, whose: Option<(usize, usize)>, first: Seconds, most: Seconds) {
+        let at = self.troubles.iter().position(|t| t.whose == whose).unwrap_or_else(|| {
+            self.troubles.push(Trouble { whose, strikes: 0, until: now });
+            self.troubles.len() - 1
+        });
+        let trouble = &mut self.troubles[at];
+        trouble.until = now + doubled(first, trouble.strikes, most);
+        trouble.strikes = (trouble.strikes + 1).min(STRIKES_MOST);
+    }
+
+    /// An answer to this class and tenant takes back half of what stands against them.
+    fn relieve(&mut self, whose: (usize, usize)) {
+        for trouble in self.troubles.iter_mut().filter(|t| t.whose.is_none_or(|w| w == whose)) {
+            trouble.strikes /= 2;
+            trouble.until = 0.0;
+        }
+        self.troubles.retain(|t| t.strikes > 0);
+    }
+
+    /// Whether a task of this class and tenant may be sent. What struck several classes or tenants strikes
+    /// all that share what these have in common: guards against a tenant that is throttled, a class that
+    /// fails, a machine that hangs, and mixtures. Harm: two troubles at once look like one that strikes all.
+    fn open(&self, now: Seconds, whose: (usize, usize)) -> bool {
+        let bars = |troubles: &mut dyn Iterator<Item = &Trouble>| {
+            let (mut first, mut same) = (None, (true, true));
+            for trouble in troubles {
+                let Some(struck) = trouble.whose else { return true };
+                let one = *first.get_or_insert(struck);
+                same = (same.0 && struck.0 == one.0, same.1 && struck.1 == one.1);
+            }
+            first.is_some_and(|one| (!same.0 || one.0 == whose.0) && (!same.1 || one.1 == whose.1))
+        };
+        !bars(&mut self.troubles.iter().filter(|t| t.until > now))
+            && (self.unanswered() == 0 || !bars(&mut self.troubles.iter()))
+    }
+
+    fn ready(&self) -> bool {
+        self.entry.is_some() && !self.leaving
+    }
+
     fn asked(&self, i: usize) -> f64 {
         self.own[i] + self.others[i]
     }
-    fn lag(&mut self, now: Seconds) {
+
+    /// Changes what our tasks ask for, after what a view would show has followed until now.
+    fn add(&mut self, now: Seconds, asked: [f64; 2]) {
         let keep = (-(now - self.lagged_at).max(0.0) / VIEW_LAG).exp();
-        for i in 0..2 {
+        for (i, asked) in asked.into_iter().enumerate() {
             self.lagged[i] = self.own[i] + (self.lagged[i] - self.own[i]) * keep;
+            self.own[i] = if self.tasks.is_empty() { 0.0 } else { self.own[i] + asked };
         }
         self.lagged_at = now;
     }
-    /// A start that is over, for better or worse: when it was sent and the work up to it.
-    fn start_over(&mut self, id: TaskId, weight: f64) -> Option<(Seconds, f64)> {
-        let start = self.starting.remove(&id)?;
-        self.start_work = if self.starting.is_empty() { 0.0 } else { (self.start_work - weight).max(0.0) };
-        Some(start)
+
+    fn unanswered(&self) -> usize {
+        self.tasks.values().filter(|task| !task.answered).count()
     }
+
     /// What the machine was seen to be asked for in all, a while ago: beyond our own, it is others'.
     fn see_asked(&mut self, now: Seconds, seen: [Option<f64>; 2]) {
-        self.lag(now);
+        self.add(now, [0.0; 2]);
         for (i, seen) in seen.into_iter().enumerate() {
-            if let Some(seen) = seen {
-                self.others[i] = (seen - self.lagged[i]).max(0.0);
-            }
+            self.others[i] = seen.map_or(self.others[i], |seen| (seen - self.lagged[i]).max(0.0));
         }
     }
+
+    /// What the machine was seen to use of what is asked for.
+    fn see_used(&mut self, i: usize, used: f64, asked: f64) -> Option<f64> {
+        let ratio = (asked > VIEW_LEAST * self.size[i]).then(|| (used / asked).clamp(0.1, 2.0))?;
+        self.used[i].learn(ratio, STATE_WEIGHT);
+        Some(ratio)
+    }
 }
 
-/// Running means over the tasks that came: their number, work, cores, memory, life and rate.
-#[derive(Debug, Default)]
-struct Means {
+/// A running mean: of all that was seen at first, later of about the last `1 / weight`.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    value: f64,
     seen: f64,
-    work: f64,
-    asked: [f64; 2],
-    life: f64,
-    rate: f64,
-    rate_at: Seconds,
+}
+
+impl Mean {
+    fn learn(&mut self, seen: f64, weight: f64) {
+        self.seen += 1.0;
+        self.value += (seen - self.value) * (1.0 / self.seen).max(weight);
+    }
+    fn or(&self, other: f64) -> f64 {
+        if self.seen > 0.0 { self.value } else { other }
+    }
+}
+
+/// The standing with the list of machines: a call that is out, when the next may go, failures in a row.
+#[derive(Debug, Default)]
+struct List {
+    subscribed: bool,
+    asked_at: Option<Seconds>,
+    ask_at: Seconds,
+    fails: i32,
 }
 
 /// Decides for one scheduler. It knows what its events told it, nothing else.
 #[derive(Debug)]
 pub struct Scheduler {
     settings: Settings,
+    seed: u64,
     rng: rand_pcg::Pcg32,
     jobs: BTreeMap<TaskId, Job>,
-    /// Tasks to place now, and tasks that candidates no machine and are tried again from `retry_at`.
+    /// Tasks to place now, and tasks that found no machine and are tried again from `retry_at`.
     fresh: Vec<TaskId>,
     held: Vec<TaskId>,
     retry_at: Seconds,
+    next_wake: Seconds,
     machines: BTreeMap<MachineId, Machine>,
     spread: BTreeMap<(ServiceId, MachineId), u32>,
-    programs: Programs,
-    expiry: BTreeSet<(u64, TaskId)>,
-    mean: Means,
-    used: [f64; 2],
-    answer: Option<f64>,
-    starts: [Option<f64>; 2],
-    next_wake: Seconds,
-    list: List,
-}
-
-/// Programs that others told of, and those we told of: the low halves of service and machine, and when.
-#[derive(Debug, Default)]
-struct Programs {
-    heard: BTreeMap<(u32, u32), Seconds>,
-    told: BTreeMap<(u32, u32), Seconds>,
+    /// Programs without a task of ours, as others told or we remember, and until when; and those to tell of.
+    programs: BTreeMap<(u32, u32), Seconds>,
     to_tell: Vec<(u32, u32)>,
-}
-
-/// The standing with the list of machines: a call that is out, when the next may go, failures in a row.
-#[derive(Debug, Default)]
-struct List {
-    subscribed: bool,
-    asked_at: Option<Seconds>,
-    ask_at: Seconds,
-    fails: i32,
+    list: List,
+    /// Life, work, cores and memory of tasks; their rate and when it was counted.
+    life: Mean,
+    work: Mean,
+    sizes: [Mean; 2],
+    rate: (f64, Seconds),
+    /// Use of what is asked on all machines.
+    used: [Mean; 2],
+    /// Time to an answer, and its deviation from the mean.
+    answer: Mean,
+    deviation: Mean,
+    /// Time of a start with and without the program.
+    starts: [Mean; 2],
+    /// Offers that may yet go to cold machines, where there are any, and when that was counted.
+    cold_offers: (Option<f64>, Seconds),
+    spare_at: Seconds,
 }
 
 /// A pause that doubles with each failure in a row.
@@ -218,37 +270,24 @@
     (first * 2f64.powi(failures)).min(most)
 }
 
-/// Moves a running mean, or sets it at the first observation.
-fn learn(mean: &mut Option<f64>, seen: f64, weight: f64) {
-    *mean = Some(mean.map_or(seen, |mean| mean + (seen - mean) * weight));
-}
-
-fn micros(t: Seconds) -> u64 {
-    (t.max(0.0) * 1e6) as u64
-}
-
 /// Dice: short work to the least backlog while backlog plus work is under the threshold, longer work to the
 /// longest backlog among a few; alike ones are drawn at random. Returns an index of `backlogs`.
 fn dice(backlogs: &[f64], work: f64, mean_work: f64, rng: &mut impl Rng) -> usize {
     let margin = MARGIN * mean_work;
     let least = backlogs.iter().copied().fold(f64::INFINITY, f64::min);
-    let mut near: Vec<usize> = if least + work < THRESHOLD * mean_work {
-        (0..backlogs.len()).filter(|&i| backlogs[i] <= least + margin).collect()
+    let mut near: Vec<usize> = (0..backlogs.len()).collect();
+    if least + work < THRESHOLD * mean_work {
+        near.retain(|&i| backlogs[i] <= least + margin);
     } else {
-        let mut sample: Vec<usize> = (0..backlogs.len()).collect();
-        for i in 0..SAMPLE.min(sample.len()) {
-            let j = rng.random_range(i..sample.len());
-            sample.swap(i, j);
-        }
-        sample.truncate(SAMPLE);
-        let longest = sample.iter().map(|&i| backlogs[i]).fold(0.0, f64::max);
-        sample.retain(|&i| backlogs[i] >= longest - margin);
-        sample
-    };
-    if near.is_empty() {
-        near.push(0);
-    }
-    near[rng.random_range(0..near.len())]
+        for i in 0..SAMPLE.min(near.len()) {
+            let j = rng.random_range(i..near.len());
+            near.swap(i, j);
+        }
+        near.truncate(SAMPLE);
+        let longest = near.iter().map(|&i| backlogs[i]).fold(0.0, f64::max);
+        near.retain(|&i| backlogs[i] >= longest - margin);
+    }
+    if near.is_empty() { 0 } else { near[rng.random_range(0..near.len())] }
 }
 
 impl Scheduler {
@@ -256,35 +295,40 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         Ok(Self {
+            seed,
             rng: rand_pcg::Pcg32::seed_from_u64(seed),
             jobs: BTreeMap::new(),
             fresh: Vec::new(),
             held: Vec::new(),
             retry_at: f64::INFINITY,
+            next_wake: f64::INFINITY,
             machines: BTreeMap::new(),
             spread: BTreeMap::new(),
-            programs: Programs::default(),
-            expiry: BTreeSet::new(),
-            mean: Means::default(),
-            used: USED,
-            answer: None,
-            starts: [None; 2],
-            next_wake: f64::INFINITY,
+            programs: BTreeMap::new(),
+            to_tell: Vec::new(),
             list: List { subscribed: !settings.subscribe, ..List::default() },
+            life: Mean::default(),
+            work: Mean::default(),
+            sizes: [Mean::default(); 2],
+            rate: (0.0, 0.0),
+            used: USED.map(|value| Mean { value, seen: GUESSED }),
+            answer: Mean { value: ANSWER, seen: GUESSED },
+            deviation: Mean { value: ANSWER / 2.0, seen: GUESSED },
+            starts: [1.0, SETUP].map(|setup| Mean { value: START * setup, seen: GUESSED }),
+            cold_offers: (None, 0.0),
+            spare_at: 0.0,
             settings,
         })
     }
 
     /// Takes in `events`, all of time `now`, and appends what is to be done.
     pub fn step(&mut self, now: Seconds, events: Vec<Event>, out: &mut Vec<Action>) {
-        while let Some(&(at, id)) = self.expiry.first().filter(|e| e.0 <= micros(now)) {
-            self.expiry.remove(&(at, id));
-            self.forget_backlog(id);
-        }
         for event in events {
             self.observe(now, event);
         }
         self.keep_list(now, out);
+        self.mark_spare(now);
+        self.refill_cold(now);
         self.place(now, out);
         self.probe(now, out);
         self.tell(now, out);
@@ -293,45 +337,9 @@
 
     fn observe(&mut self, now: Seconds, event: Event) {
         match event {
-            Event::Submit(task) => {
-                if self.jobs.contains_key(&task.id) {
-                    return;
-                }
-                self.learn_task(now, &task);
-                self.fresh.push(task.id);
-                self.jobs.insert(task.id, Job { task, sent_at: now, ..Job::default() });
-            }
-            Event::InPlace(task, machine) => {
-                if self.jobs.contains_key(&task.id) {
-                    return;
-                }
-                self.learn_task(now, &task);
-                let id = task.id;
-                let job =
-                    Job { task, sent_at: now, machine, state: State::Bound, sends: 1, ..Job::default() };
-                self.jobs.insert(id, job);
-                self.count(now, id);
-            }
-            Event::Confirmed { task, attempt } => {
-                let running = self.settings.confirm_when_running;
-                let Some(job) = self.jobs.get_mut(&task) else { return };
-                if job.state != State::Out || attempt + 1 != job.sends {
-                    return;
-                }
-                job.state = State::Bound;
-                let wait = now - job.sent_at;
-                if let Some(m) = self.machines.get_mut(&job.machine) {
-                    m.unanswered.remove(&task);
-                    m.refusals = 0;
-                    m.line += 1.0 / m.line;
-                    m.fail *= 1.0 - STATE_WEIGHT;
-                }
-                if running {
-                    self.started(now, task);
-                } else {
-                    learn(&mut self.answer, wait, ANSWER_WEIGHT);
-                }
-            }
+            Event::Submit(task) => self.take_task(now, task, None),
+            Event::InPlace(task, machine) => self.take_task(now, task, Some(machine)),
+            Event::Confirmed { task, attempt } => self.confirmed(now, task, attempt),
             Event::Note { task, note } => self.note(now, task, note),
             Event::Outcome { task, attempt, ending, closed, report } => {
                 let machine = self.jobs.get(&task).map(|job| job.machine);
@@ -351,49 +359,73 @@
             Event::ListFailed => {
                 let most = (self.settings.safety.ask_within / 2.0).max(ASK_AGAIN);
                 let pause = doubled(ASK_AGAIN, self.list.fails, most) * self.rng.random_range(0.5..1.0);
-                let fails = self.list.fails + 1;
+                let fails = (self.list.fails + 1).min(STRIKES_MOST);
                 let subscribed = !self.settings.subscribe;
                 self.list = List { subscribed, asked_at: None, ask_at: now + pause, fails };
             }
             Event::Heard(bytes) => {
-                for pair in bytes.chunks_exact(8) {
-                    let half =
-                        |i: usize| u32::from_le_bytes([pair[i], pair[i + 1], pair[i + 2], pair[i + 3]]);
+                for told in bytes.chunks_exact(8) {
+                    let half = |i: usize| (0..4).rev().fold(0, |x, k| x << 8 | u32::from(told[i + k]));
                     let (pair, gone) = ((half(0), half(4) & !GONE), half(4) & GONE != 0);
-                    let until = now + if gone { KEPT_FOR } else { HEARD_LEAST.max(HEARD * self.mean.life) };
-                    self.programs.heard.insert(pair, until);
+                    self.programs.insert(pair, now + if gone { KEPT_FOR } else { HEARD_FOR });
                 }
             }
             Event::Probed { machine, report } => {
-                if let Some(m) = self.machines.get_mut(&machine) {
-                    if report.is_none() {
-                        m.fail += (1.0 - m.fail) * STATE_WEIGHT;
-                    }
-                    m.probe_at = now;
+                if let Some(machine) = self.machines.get_mut(&machine) {
+                    machine.probe_at = now;
                 }
                 self.take_report(now, Some(machine), report);
             }
         }
     }
 
-    fn learn_task(&mut self, now: Seconds, task: &Task) {
-        self.mean.seen += 1.0;
-        let (by, mean) = ((1.0 / self.mean.seen).max(MEAN_WEIGHT), &mut self.mean);
-        let life = task.life.unwrap_or(mean.life);
-        mean.life += (life - mean.life) * by;
-        mean.work += (life * task.cores - mean.work) * by;
-        mean.asked[0] += (task.cores - mean.asked[0]) * by;
-        mean.asked[1] += (task.memory - mean.asked[1]) * by;
-        mean.rate = 1.0 / RATE_OVER + mean.rate * (-(now - mean.rate_at) / RATE_OVER).exp();
-        mean.rate_at = now;
+    fn take_task(&mut self, now: Seconds, task: Task, machine: Option<MachineId>) {
+        if self.jobs.contains_key(&task.id) {
+            return;
+        }
+        let life = task.life.unwrap_or(self.life.value);
+        self.life.learn(life, MEAN_WEIGHT);
+        self.work.learn(life * task.cores, MEAN_WEIGHT);
+        self.sizes[0].learn(task.cores, MEAN_WEIGHT);
+        self.sizes[1].learn(task.memory, MEAN_WEIGHT);
+        let (rate, at) = self.rate;
+        self.rate = (1.0 / RATE_OVER + rate * (-(now - at) / RATE_OVER).exp(), now);
+        let (id, mut job) = (task.id, Job { task, sent_at: now, ..Job::default() });
+        if let Some(machine) = machine {
+            (job.machine, job.state, job.sends) = (machine, State::Bound, 1);
+            self.jobs.insert(id, job);
+            self.count(now, id);
+        } else {
+            self.jobs.insert(id, job);
+            self.fresh.push(id);
+        }
+    }
+
+    fn confirmed(&mut self, now: Seconds, id: TaskId, attempt: u32) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.state != State::Out || attempt + 1 != job.sends {
+            return;
+        }
+        job.state = State::Bound;
+        let wait = now - job.sent_at;
+        if let Some(machine) = self.machines.get_mut(&job.machine) {
+            machine.tasks.entry(id).and_modify(|load| load.answered = true);
+            machine.relieve((job.task.class, job.task.tenant));
+        }
+        if self.settings.confirm_when_running {
+            self.started(now, id);
+        } else {
+            self.deviation.learn((wait - self.answer.value).abs(), ANSWER_WEIGHT);
+            self.answer.learn(wait, ANSWER_WEIGHT);
+        }
     }
 
     fn note(&mut self, now: Seconds, id: TaskId, note: Note) {
         let Some(job) = self.jobs.get(&id) else { return };
         let settled = job.state == State::Bound && now - job.sent_at > SETTLED;
-        let learn = |mean: &mut f64, level: f64, asked: f64| {
+        let learn = |mean: &mut Mean, level: f64, asked: f64| {
             if settled && asked > 0.0 && level.is_finite() {
-                *mean += ((level / asked).clamp(0.0, 3.0) - *mean) * MEAN_WEIGHT;
+                mean.learn((level / asked).clamp(0.0, 3.0), MEAN_WEIGHT);
             }
         };
         match note {
@@ -404,58 +436,51 @@
         }
     }
 
-    /// A task runs: how long its start took tells the pace of its machine's starts.
+    /// A task runs: how long its start took tells the pace of its machine's starts. Where the program was not
+    /// known to be there, a long start may tell of its lack as well as of a slow machine.
     fn started(&mut self, now: Seconds, id: TaskId) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let Some(m) = self.machines.get_mut(&job.machine) else { return };
-        let Some((at, work)) = m.start_over(id, job.start_weight) else { return };
-        (m.strikes, m.fail) = (0, m.fail * (1.0 - STATE_WEIGHT));
-        let took = (now - at).max(0.0);
-        learn(&mut m.unit, took / work.max(1.0), STATE_WEIGHT);
-        if work == job.start_weight {
-            learn(&mut self.starts[usize::from(!job.warm)], took, ANSWER_WEIGHT);
+        let Some(machine) = self.machines.get_mut(&job.machine) else { return };
+        let Some(load) = machine.tasks.get_mut(&id).filter(|load| !load.runs) else { return };
+        load.runs = true;
+        let (took, alone) = ((now - load.sent_at).max(0.0), load.start_after == load.start);
+        let (unit, usual) = (took / load.start_after.max(1.0), self.starts[0].value);
+        if job.warm || unit < machine.unit.or(usual) {
+            machine.unit.learn(unit, STATE_WEIGHT);
+        }
+        if alone {
+            let without = !job.warm && took > WITHOUT * usual;
+            self.starts[usize::from(without)].learn(took.max(1e-3), ANSWER_WEIGHT);
         }
     }
 
     fn outcome(&mut self, now: Seconds, id: TaskId, attempt: u32, ending: Ending, closed: bool) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        if attempt + 1 != job.sends {
-            return;
-        }
-        let (was, machine, sent_at) = (job.state, job.machine, job.sent_at);
+        let Some(job) = self.jobs.get(&id).filter(|job| attempt + 1 == job.sends) else { return };
+        let (was, to, sent_at) = (job.state, job.machine, job.sent_at);
+        let whose = Some((job.task.class, job.task.tenant));
+        // Evidence must outlast the time to the next visit of the same machine.
+        let aside = (self.machines.len() as f64 / self.rate.0.max(1e-3)).clamp(ASIDE, ASIDE_MOST);
         self.uncount(now, id);
-        let m = self.machines.entry(machine).or_default();
+        let machine = self.machines.entry(to).or_default();
         match ending {
             Ending::Finished | Ending::Cancelled | Ending::Void => {}
-            // The line is shared with others: go down to what stood there, less a part; answers raise it.
-            Ending::Full(Why::Queue) => {
-                m.line = (0.7 * (m.unanswered.len() as f64 + 1.0)).min(m.line).max(1.0);
-                m.full_until = now + FULL_FOR / 10.0;
+            Ending::Full(Why::Queue) => machine.strike(now, None, LINE_FOR, LINE_FOR),
+            // Refusals hold a while, longer when they go on: full, leaving before the list tells, or, where
+            // the reason is none of the machine's, full for this class or tenant. Harm: one with room waits.
+            Ending::Full(Why::Cores | Why::Memory) | Ending::Broken(Why::SentAway) => {
+                machine.strike(now, None, FULL_FOR, FULL_MOST);
             }
-            // Any other refusal holds a while, longer when it goes on: full, leaving before the list tells,
-            // or refusing for a reason that nobody names. Harm: a machine that has room again waits.
-            Ending::Full(_) | Ending::Broken(Why::SentAway) => {
-                m.full_until = now + doubled(FULL_FOR, m.refusals, FULL_MOST);
-                m.refusals += 1;
-                if m.refusals > 1 {
-                    m.line = 1.0;
-                }
-            }
-            Ending::Broken(Why::Evicted | Why::PushedOut) => m.full_until = now + FULL_FOR,
-            // Failures of any kind, before or after the confirmation: the machine may be dead, silent, cut
-            // off or returning errors; what matters is the share of them. Harm: an error of the task itself
-            // counts against its machine, so a few never set it aside.
-            Ending::Failed | Ending::Late | Ending::NoConnection | Ending::Broken(_) => {
-                m.fail += (1.0 - m.fail) * if ending == Ending::NoConnection { SICK } else { STATE_WEIGHT };
-                if matches!(ending, Ending::NoConnection | Ending::Broken(_)) {
-                    // It may have died: the list tells late, so it counts as cold once it answers again.
-                    m.cold_until = now + self.settings.safety.cold;
-                    m.programs.clear();
-                }
-                if m.fail >= SICK && now >= m.aside_until {
-                    m.aside_until = now + doubled(ASIDE, m.strikes, ASIDE_MOST);
-                    m.strikes += 1;
-                }
+            Ending::Full(_) => machine.strike(now, whose, FULL_FOR, FULL_MOST),
+            Ending::Broken(Why::Evicted | Why::PushedOut) => machine.strike(now, None, FULL_FOR, FULL_FOR),
+            // Failures before the confirmation: errors, silence, answers lost. Only this class of this tenant
+            // is known to be struck. Harm: an error of the task itself counts against its machine.
+            Ending::Failed | Ending::Late => machine.strike(now, whose, aside, ASIDE_MOST),
+            Ending::Broken(_) if was == State::Out => machine.strike(now, whose, aside, ASIDE_MOST),
+            // It has died or is cut off: the list tells late, so it counts as cold once it answers again.
+            Ending::NoConnection | Ending::Broken(_) => {
+                machine.strike(now, None, aside, ASIDE_MOST);
+                machine.cold_until = now + self.settings.safety.cold;
+                self.programs.retain(|pair, _| pair.1 != to.0 as u32 & !GONE);
             }
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -464,34 +489,30 @@
             return;
         }
         if matches!(ending, Ending::Failed | Ending::Late | Ending::Broken(_) | Ending::Cancelled) {
-            job.may_run.get_or_insert((sent_at, machine));
-        }
-        if ending != Ending::Void {
-            job.tried.push(machine);
+            job.may_run.get_or_insert((sent_at, to));
         }
         job.state = State::Held;
         self.fresh.push(id);
     }
 
     fn take_report(&mut self, now: Seconds, id: Option<MachineId>, report: Option<Report>) {
-        let (Some(m), Some(report)) = (id.and_then(|id| self.machines.get_mut(&id)), report) else { return };
-        m.report_at = now;
-        let size = m.size;
-        let taken = [report.free_cores.map(|f| size[0] - f), report.free_memory.map(|f| size[1] - f)];
+        let Some(machine) = id.and_then(|id| self.machines.get_mut(&id)) else { return };
+        let Some(report) = report else { return };
+        machine.report_at = now;
+        let free = [report.free_cores, report.free_memory];
+        let taken = [0, 1].map(|i| free[i].map(|free| machine.size[i] - free));
         if self.settings.reports_use {
-            m.lag(now);
-            for i in 0..2 {
-                let asked = m.lagged[i] + m.others[i];
-                let Some(taken) = taken[i].filter(|_| asked > 0.1 * size[i]) else { continue };
-                let ratio = (taken / asked).clamp(0.1, 2.0);
-                learn(&mut m.used[i], ratio, STATE_WEIGHT);
-                self.used[i] += (ratio - self.used[i]) * MEAN_WEIGHT;
+            machine.add(now, [0.0; 2]);
+            for (i, taken) in taken.into_iter().enumerate() {
+                let asked = machine.lagged[i] + machine.others[i];
+                if let Some(ratio) = taken.and_then(|taken| machine.see_used(i, taken, asked)) {
+                    self.used[i].learn(ratio, MEAN_WEIGHT);
+                }
             }
         } else {
-            m.see_asked(now, taken);
-            if let Some(busy) = report.busy.filter(|_| m.asked(0) > 0.1 * size[0]) {
-                let ratio = (busy * size[0] / m.asked(0)).clamp(0.1, 2.0);
-                learn(&mut m.used[0], ratio, STATE_WEIGHT);
+            machine.see_asked(now, taken);
+            if let Some(busy) = report.busy {
+                machine.see_used(0, busy * machine.size[0], machine.asked(0));
             }
         }
     }
@@ -499,251 +520,256 @@
     fn take_list(&mut self, now: Seconds, list: Vec<Entry>, whole: bool) {
         (self.list.asked_at, self.list.fails) = (None, 0);
         if whole {
-            self.machines.values_mut().for_each(|m| m.leaving = true);
-        }
-        for e in list {
-            let m = self.machines.entry(e.machine).or_default();
-            m.line = if m.listed { m.line } else { LINE };
-            let Some(kind) = self.settings.kinds.get(e.kind) else { continue };
-            m.size = [kind.cores, kind.memory];
-            (m.listed, m.kind, m.cell, m.zone) = (true, e.kind, e.cell, e.zone);
-            m.leaving = e.standing != Standing::Ready;
-            if e.up_since > m.up_since {
-                m.programs.clear();
+            self.machines.values_mut().for_each(|machine| machine.leaving = true);
+        }
+        for entry in list {
+            let Some(kind) = self.settings.kinds.get(entry.kind) else { continue };
+            let machine = self.machines.entry(entry.machine).or_default();
+            if machine.entry.as_ref().is_some_and(|known| entry.up_since > known.up_since) {
+                self.programs.retain(|pair, _| pair.1 != entry.machine.0 as u32 & !GONE);
             }
-            m.up_since = e.up_since;
+            machine.size = [kind.cores, kind.memory];
+            machine.leaving = entry.standing != Standing::Ready;
             if self.settings.lists_free {
-                m.see_asked(now, [Some(kind.cores - e.free_cores), Some(kind.memory - e.free_memory)]);
+                let asked = [kind.cores - entry.free_cores, kind.memory - entry.free_memory];
+                machine.see_asked(now, asked.map(Some));
             }
+            machine.entry = Some(entry);
         }
     }
 
     /// Counts a send or a task in place against its machine.
     fn count(&mut self, now: Seconds, id: TaskId) {
-        let (mean_life, setup) = (self.mean.life, self.setup());
+        let mean_life = self.life.value;
         let Some(job) = self.jobs.get(&id) else { return };
-        let m = self.machines.get(&job.machine);
-        let warm = m.is_some_and(|m| self.warm(now, job.task.service, job.machine, m));
+        let (service, to) = (job.task.service, job.machine);
+        let warm = self.warm(now, service, to);
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        *self.spread.entry((job.task.service, job.machine)).or_default() += 1;
-        let pair = pair(job.task.service, job.machine);
-        if self.programs.told.get(&pair).is_none_or(|&at| now - at > HEARD * mean_life / 2.0) {
-            self.programs.told.insert(pair, now);
-            self.programs.to_tell.push(pair);
-        }
-        let m = self.machines.entry(job.machine).or_default();
-        m.lag(now);
-        m.own[0] += job.task.cores;
-        m.own[1] += job.task.memory;
-        m.tasks += 1;
-        let life_end = now + job.task.life.unwrap_or(mean_life).clamp(0.0, 1e7);
-        job.life_end = Some(life_end);
-        m.core_sum += job.task.cores;
-        m.end_sum += job.task.cores * life_end;
-        self.expiry.insert((micros(life_end), id));
-        if job.state == State::Out {
-            (job.warm, job.start_weight) = (warm, if warm { 1.0 } else { setup });
-            m.start_work += job.start_weight;
-            m.unanswered.insert(id, now);
-            m.starting.insert(id, (now, m.start_work));
-        } else {
+        *self.spread.entry((service, to)).or_default() += 1;
+        self.to_tell.push(pair(service, to));
+        let machine = self.machines.entry(to).or_default();
+        let (out, asked) = (job.state == State::Out, [job.task.cores, job.task.memory]);
+        job.warm = warm;
+        let start = if warm { 1.0 } else { self.starts[1].value / self.starts[0].value };
+        let start_after =
+            start + machine.tasks.values().filter(|load| !load.runs).map(|load| load.start).sum::<f64>();
+        let ends = now + job.task.life.unwrap_or(mean_life);
+        let load = Load { asked, ends, sent_at: now, answered: !out, runs: !out, start, start_after };
+        machine.tasks.insert(id, load);
+        machine.add(now, asked);
+        if !out {
             // The list that came before told of this task among all others.
-            m.lagged = m.own;
-            m.others[0] = (m.others[0] - job.task.cores).max(0.0);
-            m.others[1] = (m.others[1] - job.task.memory).max(0.0);
+            machine.lagged = machine.own;
+            machine.others = [0, 1].map(|i| (machine.others[i] - asked[i]).max(0.0));
         }
     }
 
-    fn forget_backlog(&mut self, id: TaskId) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        let (Some(end), Some(m)) = (job.life_end.take(), self.machines.get_mut(&job.machine)) else { return };
-        self.expiry.remove(&(micros(end), id));
-        m.core_sum -= job.task.cores;
-        m.end_sum -= job.task.cores * end;
-    }
-
     /// Takes back all that `count` did.
     fn uncount(&mut self, now: Seconds, id: TaskId) {
-        self.forget_backlog(id);
         let Some(job) = self.jobs.get(&id) else { return };
-        let Some(m) = self.machines.get_mut(&job.machine) else { return };
-        m.lag(now);
-        m.own[0] -= job.task.cores;
-        m.own[1] -= job.task.memory;
-        m.tasks -= 1;
-        if m.tasks == 0 {
-            (m.own, m.core_sum, m.end_sum) = ([0.0; 2], 0.0, 0.0);
-        }
-        m.unanswered.remove(&id);
-        m.start_over(id, job.start_weight);
+        let Some(machine) = self.machines.get_mut(&job.machine) else { return };
+        machine.tasks.remove(&id);
+        machine.add(now, [-job.task.cores, -job.task.memory]);
         let key = (job.task.service, job.machine);
-        if let Some(n) = self.spread.get_mut(&key) {
-            *n -= 1;
-            if *n == 0 {
-                self.spread.remove(&key);
-                let pair = pair(key.0, key.1);
-                self.programs.told.remove(&pair);
-                self.programs.to_tell.push((pair.0, pair.1 | GONE));
-                m.programs.retain(|&p| p != key.0);
-                m.programs.push_back(key.0);
-                if m.programs.len() > KEPT {
-                    m.programs.pop_front();
-                }
-            }
-        }
+        let Some(there) = self.spread.get_mut(&key) else { return };
+        *there -= 1;
+        if *there == 0 {
+            self.spread.remove(&key);
+            let pair = pair(key.0, key.1);
+            self.to_tell.push((pair.0, pair.1 | GONE));
+            self.programs.insert(pair, now + KEPT_FOR);
+        }
+    }
+
+    /// Lets this scheduler's part of what cold machines bear grow: what all may offer to all of them, as
+    /// schedulers can't agree on one. At first each has a random part of it, else all would offer at once.
+    fn refill_cold(&mut self, now: Seconds) {
+        let safety = &self.settings.safety;
+        let cold = self.machines.values().filter(|m| m.ready() && cold(m, safety, now)).count();
+        let part = cold as f64 * safety.cold_bears * COLD_PART / self.settings.schedulers as f64;
+        let (left, at) = self.cold_offers;
+        let left = match left {
+            _ if cold == 0 => None,
+            Some(left) => Some(left + part * (now - at) / safety.overload_for.max(1e-3)),
+            None => Some(self.rng.random_range(0.0..part.max(1.0))),
+        };
+        self.cold_offers = (left.map(|left| left.min(part.max(1.0))), now);
     }
 
-    /// Offers that this scheduler may make to a cold machine within how long: its part of what all may.
-    fn cold_budget(&self) -> (usize, Seconds) {
-        let part = self.settings.safety.cold_bears / self.settings.schedulers as f64;
-        let window = self.settings.safety.overload_for * SLACK;
-        if part >= 1.0 { (part as usize, window) } else { (1, window / part.max(1e-3)) }
+    /// Whether one more offer keeps within this scheduler's part of what cold machines, and this one, bear.
+    fn bears(&self, now: Seconds, machine: &Machine) -> bool {
+        let safety = &self.settings.safety;
+        let part = (safety.cold_bears / self.settings.schedulers as f64).floor().max(1.0);
+        let left = self.cold_offers.0.is_none_or(|left| left >= 1.0);
+        !cold(machine, safety, now) || left && now >= machine.offered_at + safety.overload_for * SLACK / part
     }
 
-    /// The one gate: the five rules, for one more send of this task to this machine.
-    fn gate(&self, now: Seconds, job: &Job, id: MachineId, m: &Machine) -> bool {
-        let class = &self.settings.classes[job.task.class];
-        let owed = job.state == State::Held && job.sends < self.settings.max_attempts;
-        let in_time = now + LEEWAY < job.task.deadline;
-        let here = m.listed && !m.leaving && class.kind.is_none_or(|k| k == m.kind);
-        if !owed || !in_time || !here {
-            return false;
-        }
-        let once = match (job.may_run, class.effect) {
-            (None, _) | (_, Effect::Safe) => true,
-            (_, Effect::Unsafe) => false,
-            (Some((at, first)), Effect::Keyed { group, window }) => {
-                now + LEEWAY < at + window && self.same_place(group, id, m, first)
-            }
+    /// Until when this task may be sent, were a machine found.
+    fn may_send_until(&self, job: &Job) -> Seconds {
+        let repeats = match (job.may_run, self.settings.classes[job.task.class].effect) {
+            _ if job.sends >= self.settings.max_attempts => 0.0,
+            (None, _) | (_, Effect::Safe) => f64::INFINITY,
+            (_, Effect::Unsafe) => 0.0,
+            (Some((at, _)), Effect::Keyed { window, .. }) => at + window,
         };
-        if !once {
-            return false;
-        }
-        if cold(m, &self.settings, now) {
-            let (most, window) = self.cold_budget();
-            if m.offers.iter().filter(|&&at| at > now - window).count() >= most {
-                return false;
-            }
-        }
-        let Some(place) = class.spread else { return true };
-        let there: u32 = self
-            .spread
-            .range((job.task.service, MachineId(0))..=(job.task.service, MachineId(u64::MAX)))
-            .filter(|((_, other), _)| self.same_place(place, id, m, *other))
-            .map(|(_, n)| n)
-            .sum();
-        there < class.spread_most
+        job.task.deadline.min(repeats) - LEEWAY
     }
 
-    fn same_place(&self, place: Place, id: MachineId, m: &Machine, other: MachineId) -> bool {
-        let known = self.machines.get(&other).filter(|o| o.listed);
+    /// The one gate: the five rules, for one more send of this task to this machine.
+    fn gate(&self, now: Seconds, job: &Job, id: MachineId, machine: &Machine) -> bool {
+        let class = &self.settings.classes[job.task.class];
+        let kind = machine.entry.as_ref().map(|entry| entry.kind);
+        let in_group = match (job.may_run, class.effect) {
+            (Some((_, first)), Effect::Keyed { group, .. }) => self.same_place(group, id, machine, first),
+            _ => true,
+        };
+        let services = (job.task.service, MachineId(0))..=(job.task.service, MachineId(u64::MAX));
+        let there = |place| {
+            let near = |other| self.same_place(place, id, machine, other);
+            self.spread.range(services).filter(|at| near(at.0.1)).map(|at| at.1).sum::<u32>()
+        };
+        job.state == State::Held
+            && now < self.may_send_until(job)
+            && machine.ready()
+            && (class.kind.is_none() || class.kind == kind)
+            && in_group
+            && self.bears(now, machine)
+            && class.spread.is_none_or(|place| there(place) < class.spread_most)
+    }
+
+    fn same_place(&self, place: Place, id: MachineId, machine: &Machine, other: MachineId) -> bool {
+        let entry = |machine: &Machine| machine.entry.as_ref().map(|entry| (entry.zone, entry.cell));
+        let (here, there) = (entry(machine), self.machines.get(&other).and_then(entry));
         match place {
             Place::All => true,
             Place::Machine => id == other,
-            Place::Zone => known.is_some_and(|o| o.zone == m.zone),
-            Place::Cell => known.is_some_and(|o| o.cell == m.cell),
+            Place::Zone => here.zip(there).is_some_and(|(here, there)| here.0 == there.0),
+            Place::Cell => here.zip(there).is_some_and(|(here, there)| here.1 == there.1),
         }
     }
 
-    fn setup(&self) -> f64 {
-        match self.starts {
-            [Some(warm), Some(cold)] if warm > 0.0 => (cold / warm).clamp(2.0, 20.0),
-            _ => SETUP,
-        }
+    fn warm(&self, now: Seconds, service: ServiceId, id: MachineId) -> bool {
+        self.spread.contains_key(&(service, id))
+            || self.programs.get(&pair(service, id)).is_some_and(|&until| now < until)
     }
 
-    /// How long until the task would run there, from the pace of starts seen there.
-    fn start_in(&self, now: Seconds, m: &Machine, program: f64) -> Seconds {
-        let unit = m.unit.or(self.starts[0]).unwrap_or(START);
-        let unit = m.starting.values().next().map_or(unit, |&(at, work)| unit.max((now - at) / work));
-        let work = program + (1.0 - program) * self.setup();
+    /// The chance that a start of this much work is too late for the aim.
+    fn late(&self, now: Seconds, machine: &Machine, aim: Seconds, work: f64) -> f64 {
+        let unit = machine.unit.or(self.starts[0].value);
+        let before: f64 = machine.tasks.values().filter(|load| !load.runs).map(|load| load.start).sum();
+        let unit = machine
+            .tasks
+            .values()
+            .filter(|load| !load.runs)
+            .map(|load| (now - load.sent_at) / load.start_after)
+            .fold(unit, f64::max);
         // Starts run side by side, so the pace of many says nothing of how long one takes.
-        (unit * (m.start_work + work)).max(self.starts[0].unwrap_or(START) * work)
-    }
-
-    fn warm(&self, now: Seconds, service: ServiceId, id: MachineId, m: &Machine) -> bool {
-        m.programs.contains(&service)
-            || self.spread.contains_key(&(service, id))
-            || self.programs.heard.get(&pair(service, id)).is_some_and(|&until| now < until)
+        let takes = (unit * (before + work)).max(self.starts[0].value * work);
+        ((takes / aim.max(1e-3) - IN_TIME) / LATE_OVER).clamp(0.0, 1.0)
     }
 
-    /// Whether the machine would admit the task, and how crowded that would leave it: up to 1 all are served
-    /// well, above 1 the task lacks cores or memory; `None` where it should not be offered at all.
-    fn crowding(&self, now: Seconds, job: &Job, m: &Machine) -> Option<f64> {
+    /// What placing the task there is expected to lose, in seconds of its full service: a late start, crowded
+    /// cores or memory over its life (its own and the others'), a machine kept in use. `None` where it would
+    /// not be admitted, or do more harm than good.
+    fn loss(&self, now: Seconds, job: &Job, machine: &Machine, program: f64) -> Option<f64> {
         let (class, task) = (&self.settings.classes[job.task.class], &job.task);
-        let use_of = |i: usize| m.used[i].unwrap_or(self.used[i]).max(0.05);
-        let asked = [(m.asked(0) + task.cores) / m.size[0], (m.asked(1) + task.memory) / m.size[1]];
+        let use_of = |i: usize| machine.used[i].or(self.used[i].value).max(0.05);
+        let asked = [machine.asked(0) + task.cores, machine.asked(1) + task.memory];
+        let asked = [asked[0] / machine.size[0], asked[1] / machine.size[1]];
         let used = [asked[0] * use_of(0), asked[1] * use_of(1)];
-        let admitted = asked[0] <= self.settings.admit_cores * ADMIT_FULL
-            && asked[1] <= self.settings.admit_memory * ADMIT_FULL
-            && used[0] <= class.calm + STRETCH * class.fade
-            && used[1] <= MEMORY_MOST;
-        (now >= m.full_until && admitted)
-            .then(|| (used[0] / (class.calm * CORES_FULL).max(0.01)).max(used[1] / MEMORY_FULL))
+        let admits = [self.settings.admit_cores, self.settings.admit_memory];
+        if (0..2).any(|i| asked[i] > admits[i] * ADMIT_FULL) {
+            return None;
+        }
+        let crowded = (used[0] / (class.calm * CORES_FULL).max(0.01)).max(used[1] / MEMORY_FULL) - 1.0;
+        let opened = if machine.asked(0) > 0.0 { 1.0 } else { 2.0 };
+        let in_use = if machine.spare { self.settings.prices.machines * IN_USE * opened } else { 0.0 };
+        let late = program * self.late(now, machine, class.aim, 1.0)
+            + (1.0 - program)
+                * self.late(now, machine, class.aim, self.starts[1].value / self.starts[0].value);
+        let life = task.life.unwrap_or(self.life.value);
+        Some(class.start_worth * late + life * CROWDING * crowded.max(0.0) + in_use * self.life.value)
     }
 
-    fn backlog(&self, now: Seconds, m: &Machine) -> f64 {
-        let lanes_cores = m.size[0] / (self.used[0] * self.mean.asked[0]).max(1e-6);
-        let lanes_memory = MEMORY_FULL * m.size[1] / (self.used[1] * self.mean.asked[1]).max(1e-6);
-        let others = m.others[0] * self.mean.life;
-        ((m.end_sum - now * m.core_sum).max(0.0) + others) / lanes_cores.min(lanes_memory).max(1.0)
+    /// Remaining work known there, over the tasks that the machine can run side by side.
+    fn backlog(&self, now: Seconds, machine: &Machine) -> f64 {
+        let lanes_cores = machine.size[0] / (self.used[0].value * self.sizes[0].value).max(1e-6);
+        let lanes_memory =
+            MEMORY_FULL * machine.size[1] / (self.used[1].value * self.sizes[1].value).max(1e-6);
+        let own: f64 = machine.tasks.values().map(|load| (load.ends - now).max(0.0) * load.asked[0]).sum();
+        (own + machine.others[0] * self.life.value) / lanes_cores.min(lanes_memory).max(1.0)
     }
 
     fn pick(&mut self, now: Seconds, id: TaskId) -> Option<MachineId> {
-        let job = &self.jobs[&id];
+        let (job, safety) = (&self.jobs[&id], &self.settings.safety);
+        let (service, whose) = (job.task.service, (job.task.class, job.task.tenant));
         let mut candidates: Vec<(MachineId, &Machine, f64)> = self
             .machines
             .iter()
-            .filter(|&(&mid, m)| self.gate(now, job, mid, m))
-            .filter_map(|(&mid, m)| Some((mid, m, self.crowding(now, job, m)?)))
-            // A machine set aside gets nothing, then one task at a time until one has started.
-            .filter(|(_, m, _)| now >= m.aside_until && (m.fail < SICK || m.starting.is_empty()))
-            .filter(|(_, m, _)| (m.unanswered.len() as f64) < m.line)
+            .filter(|&(&to, machine)| self.gate(now, job, to, machine) && machine.open(now, whose))
+            .filter(|(_, machine)| machine.unanswered() < LINE)
+            // Cold machines have no programs, and all schedulers must not choose the same one.
+            .map(|(&to, machine)| {
+                let salt = if cold(machine, safety, now) { id.0.rotate_left(17) ^ self.seed } else { 0 };
+                (to, machine, rank(ServiceId(service.0 ^ salt), to, machine))
+            })
             .collect();
-        let silent = (SILENT * self.answer.unwrap_or(0.0)).max(SILENT_MIN);
-        narrow(&mut candidates, |(mid, ..)| !job.tried.contains(mid));
-        narrow(&mut candidates, |(_, m, _)| m.unanswered.values().next().is_none_or(|at| now - at < silent));
-        let least = candidates.iter().map(|f| f.2).fold(f64::INFINITY, f64::min);
-        narrow(&mut candidates, |f| f.2 <= 1f64.max(least + CROWD));
-        if self.settings.prices.machines > 0.0 {
-            narrow(&mut candidates, |(_, m, _)| m.asked(0) > 0.0);
-        }
-        // Where no program is known, all schedulers prefer the same few machines for a service, as others'
-        // programs are not seen. Where a home is crowded, silent or barred, the next takes its place. Harm: a
-        // popular service fills its homes first.
-        let service = job.task.service;
-        let mut ranks: Vec<u64> = candidates.iter().map(|f| rank(service, f.0)).collect();
-        ranks.sort_unstable();
-        let known = candidates.iter().any(|f| self.warm(now, service, f.0, f.1));
-        let home = ranks.get(HOMES - 1).filter(|_| !known).copied().unwrap_or(0);
-        let start = |f: &(MachineId, &Machine, f64)| {
-            let program = if known && self.warm(now, service, f.0, f.1) {
-                1.0
-            } else if rank(service, f.0) <= home {
-                AT_HOME
-            } else {
-                0.0
+        // Where others' programs are not seen, all schedulers prefer the same few machines for a service. If
+        // one is barred, the next takes its place. Harm: a popular service fills its homes.
+        candidates.sort_by(|a, b| a.1.spare.cmp(&b.1.spare).then(a.2.total_cmp(&b.2)));
+        let mut chance = if self.informed() { 0.0 } else { AT_HOME };
+        for (place, (to, machine, loss)) in candidates.iter_mut().enumerate() {
+            chance *= if place < HOMES { 1.0 } else { FALL };
+            let program = match self.warm(now, service, *to) {
+                true => AT_HOME,
+                false if cold(machine, safety, now) => 0.0,
+                false => chance,
             };
-            self.start_in(now, f.1, program)
-        };
-        let soonest = candidates.iter().map(start).fold(f64::INFINITY, f64::min);
-        let aim = self.settings.classes[job.task.class].aim * IN_TIME;
-        narrow(&mut candidates, |f| start(f) <= aim.max(soonest * SLACK));
+            *loss = self.loss(now, job, machine, program).unwrap_or(f64::INFINITY);
+        }
+        let least = candidates.iter().map(|c| c.2).fold(f64::INFINITY, f64::min);
+        candidates.retain(|c| c.2.is_finite() && c.2 <= least + MARGIN_LOSS);
+        candidates.truncate(HOMES);
         if candidates.is_empty() {
             return None;
         }
-        let known: Vec<f64> = candidates.iter().map(|(_, m, _)| self.backlog(now, m)).collect();
+        let known: Vec<f64> = candidates.iter().map(|c| self.backlog(now, c.1)).collect();
         let mean = known.iter().sum::<f64>() / known.len() as f64;
-        let new = |m: &Machine| m.tasks == 0 || cold(m, &self.settings, now);
+        let new = |machine: &Machine| machine.tasks.is_empty() || cold(machine, safety, now);
         let backlogs: Vec<f64> =
-            candidates.iter().zip(&known).map(|((_, m, _), &b)| if new(m) { mean } else { b }).collect();
-        let work = job.task.life.map_or(self.mean.work, |life| life * job.task.cores);
-        let ids: Vec<MachineId> = candidates.iter().map(|f| f.0).collect();
-        Some(ids[dice(&backlogs, work, self.mean.work, &mut self.rng)])
+            candidates.iter().zip(known).map(|(c, known)| if new(c.1) { mean } else { known }).collect();
+        let work = job.task.life.map_or(self.work.value, |life| life * job.task.cores);
+        let ids: Vec<MachineId> = candidates.iter().map(|c| c.0).collect();
+        Some(ids[dice(&backlogs, work, self.work.value, &mut self.rng)])
+    }
+
+    /// Where machines in use cost, marks those that are not needed at comfort for what all tasks use now: the
+    /// emptiest, so that the same ones run empty at all schedulers.
+    fn mark_spare(&mut self, now: Seconds) {
+        if self.settings.prices.machines <= 0.0 || now < self.spare_at {
+            return;
+        }
+        self.spare_at = now + VIEW_LAG / 2.0;
+        let (mut need, mut order) = ([0.0; 2], Vec::new());
+        for (&id, machine) in self.machines.iter().filter(|(_, machine)| machine.entry.is_some()) {
+            for (i, need) in need.iter_mut().enumerate() {
+                *need += machine.asked(i) * machine.used[i].or(self.used[i].value);
+            }
+            let full = (machine.asked(0) / machine.size[0]).max(machine.asked(1) / machine.size[1]);
+            order.push((full + if machine.spare { 0.0 } else { KEPT_OPEN }, id));
+        }
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (_, id) in order {
+            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            machine.spare = need[0] <= 0.0 && need[1] <= 0.0;
+            if !machine.leaving {
+                need[0] -= machine.size[0] * CORES_FULL * WORKING;
+                need[1] -= machine.size[1] * MEMORY_FULL * WORKING;
+            }
+        }
     }
 
     fn place(&mut self, now: Seconds, out: &mut Vec<Action>) {
-        // Waiting tasks take turns, rarer the more there are: each look costs CPU, which is limited.
         let mut held = std::mem::take(&mut self.fresh);
         if now >= self.retry_at {
             held.append(&mut self.held);
@@ -751,49 +777,39 @@
         }
         let classes = &self.settings.classes;
         held.sort_by(|a, b| {
-            let worth = |id: &TaskId| self.jobs.get(id).map_or(0.0, |j| classes[j.task.class].worth);
+            let worth = |id: &TaskId| self.jobs.get(id).map_or(0.0, |job| classes[job.task.class].worth);
             worth(b).total_cmp(&worth(a)).then(a.cmp(b))
         });
         for id in held {
             let Some(job) = self.jobs.get(&id) else { continue };
-            let effect = self.settings.classes[job.task.class].effect;
-            let barred = job.may_run.is_some_and(|(at, _)| match effect {
-                Effect::Safe => false,
-                Effect::Unsafe => true,
-                Effect::Keyed { window, .. } => now + LEEWAY >= at + window,
-            });
-            if barred || job.sends >= self.settings.max_attempts || now + LEEWAY >= job.task.deadline {
+            if now >= self.may_send_until(job) {
                 self.finish(id, out);
             } else if let Some(machine) = self.pick(now, id) {
                 self.send(now, id, machine, out);
             } else {
-                let pause = AGAIN * (1.0 + self.held.len() as f64 / CROWDED);
+                let pause = AGAIN * (1.0 + self.held.len() as f64 / CROWDED); // Each look costs CPU.
                 self.retry_at = self.retry_at.min(now + pause).min(self.jobs[&id].task.deadline - LEEWAY);
                 self.held.push(id);
             }
         }
     }
 
-    fn send(&mut self, now: Seconds, id: TaskId, machine: MachineId, out: &mut Vec<Action>) {
+    fn send(&mut self, now: Seconds, id: TaskId, to: MachineId, out: &mut Vec<Action>) {
+        let timeout = (self.answer.value + DEVIATIONS * self.deviation.value).max(TIMEOUT_LEAST);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let class = &self.settings.classes[job.task.class];
-        let usual = match class.effect {
-            _ if self.settings.confirm_when_running => class.deadline / 2.0,
-            Effect::Unsafe => class.deadline / 2.0,
-            _ => class.aim,
-        };
-        let wait = usual.max(SILENT * self.answer.unwrap_or(0.0)).min(job.task.deadline - now - LEEWAY / 2.0);
-        (job.state, job.sent_at, job.machine) = (State::Out, now, machine);
+        let once = self.settings.confirm_when_running || class.effect == Effect::Unsafe;
+        let wait = if once { class.deadline / 2.0 } else { timeout };
+        let wait = wait.min(job.task.deadline - now - LEEWAY / 2.0);
+        (job.state, job.sent_at, job.machine) = (State::Out, now, to);
         job.sends += 1;
         self.count(now, id);
-        let keep = now - self.cold_budget().1;
-        if let Some(m) = self.machines.get_mut(&machine) {
-            m.offers.push_back(now);
-            while m.offers.front().is_some_and(|&at| at < keep) {
-                m.offers.pop_front();
-            }
+        let safety = &self.settings.safety;
+        if let Some(machine) = self.machines.get_mut(&to).filter(|machine| cold(machine, safety, now)) {
+            self.cold_offers.0 = self.cold_offers.0.map(|left| left - 1.0);
+            machine.offered_at = now;
         }
-        out.push(Action::Send { task: id, machine, wait });
+        out.push(Action::Send { task: id, machine: to, wait });
     }
 
     /// The one end of a request that was not placed: a refusal where it is harmless, else a failure.
@@ -812,23 +828,27 @@
     /// programs are seen nowhere. Where messages are barred or dear, homes must do. Harm: a program that is
     /// gone draws some starts until what was told has aged.
     fn tell(&mut self, now: Seconds, out: &mut Vec<Action>) {
-        let bytes: Vec<u8> = self
-            .programs
-            .to_tell
-            .drain(..)
-            .flat_map(|p| [p.0.to_le_bytes(), p.1.to_le_bytes()])
-            .flatten()
-            .collect();
-        let share = (self.settings.schedulers - 1) as f64 * 8.0 / 256.0;
-        if self.settings.messages && share > 0.0 && self.settings.prices.message * share <= TELL_SPEND {
+        let told = std::mem::take(&mut self.to_tell);
+        if self.tells() {
+            let bytes: Vec<u8> =
+                told.iter().flat_map(|p| [p.0.to_le_bytes(), p.1.to_le_bytes()]).flatten().collect();
             out.extend(bytes.chunks(256).map(|part| Action::Tell(part.to_vec())));
         }
-        if self.programs.heard.len() + self.programs.told.len() > TOLD_MOST {
-            self.programs.heard.retain(|_, until| now < *until);
-            self.programs.told.retain(|_, at| now - *at < HEARD * self.mean.life);
+        if self.programs.len() > KNOWN_MOST {
+            self.programs.retain(|_, &mut until| now < until);
         }
     }
 
+    fn tells(&self) -> bool {
+        let share = (self.settings.schedulers - 1) as f64 * 8.0 / 256.0;
+        self.settings.messages && share > 0.0 && self.settings.prices.message * share <= TELL_SPEND
+    }
+
+    /// Whether the programs of a service are known here: its tasks come here alone, or all tell of theirs.
+    fn informed(&self) -> bool {
+        self.settings.one_home || self.settings.schedulers == 1 || self.tells()
+    }
+
     fn keep_list(&mut self, now: Seconds, out: &mut Vec<Action>) {
         let list = &mut self.list;
         if list.asked_at.is_some_and(|at| now - at > ASK_LOST) {
@@ -840,18 +860,18 @@
         }
     }
 
-    /// Probes the machine whose report is oldest, as often as the price allows.
+    /// Probes machines whose reports are old, as often as the price allows.
     fn probe(&mut self, now: Seconds, out: &mut Vec<Action>) {
         if !self.settings.probes || self.settings.reports == Reports::None {
             return;
         }
-        let spend =
-            if self.settings.prices.probe > 0.0 { PROBE_SPEND / self.settings.prices.probe } else { 1.0 };
-        let each = (self.machines.len() as f64 / (self.mean.rate * spend).max(0.1)).max(STALE);
-        for (&id, m) in &mut self.machines {
-            let due = now - m.report_at.max(m.probe_at) >= each;
-            if due && m.listed && !m.leaving && !cold(m, &self.settings, now) {
-                m.probe_at = now;
+        let price = self.settings.prices.probe;
+        let spend = if price > 0.0 { PROBE_SPEND / price } else { 1.0 };
+        let each = (self.machines.len() as f64 / (self.rate.0 * spend).max(0.1)).max(STALE);
+        for (&id, machine) in &mut self.machines {
+            let due = now - machine.report_at.max(machine.probe_at) >= each;
+            if due && machine.ready() && !cold(machine, &self.settings.safety, now) {
+                machine.probe_at = now;
                 out.push(Action::Probe(id));
             }
         }
@@ -867,29 +887,25 @@
         at = at.min(self.retry_at);
         if at.is_finite() && at < self.next_wake {
             self.next_wake = at;
-            out.push(Action::Timer { after: (at - now).max(0.001), token: micros(at) });
+            out.push(Action::Timer { after: (at - now).max(0.001), token: (at.max(0.0) * 1e6) as u64 });
         }
     }
 }
 
-/// The place of a machine in a service's order of homes: the same at every scheduler.
-fn rank(service: ServiceId, machine: MachineId) -> u64 {
-    let x = (service.0 ^ machine.0.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93)
+/// The place of a machine in a service's order of homes, the same at every scheduler: a weighted rendezvous
+/// hash, so that larger machines are home to more and others' homes stay when a machine comes or goes.
+fn rank(service: ServiceId, id: MachineId, machine: &Machine) -> f64 {
+    let x = (service.0 ^ id.0.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    -((x >> 11) as f64 / (1u64 << 53) as f64).max(1e-12).ln() / machine.size[0].max(1e-6)
 }
 
-fn cold(m: &Machine, settings: &Settings, now: Seconds) -> bool {
-    m.up_since.is_some_and(|up| now < up + settings.safety.cold) || now < m.cold_until
+fn cold(machine: &Machine, safety: &Safety, now: Seconds) -> bool {
+    let up_since = machine.entry.as_ref().and_then(|entry| entry.up_since);
+    up_since.is_some_and(|up| now < up + safety.cold) || now < machine.cold_until
 }
 
 /// A service and a machine as schedulers tell each other of them.
 fn pair(service: ServiceId, machine: MachineId) -> (u32, u32) {
     (service.0 as u32, machine.0 as u32 & !GONE)
 }
-
-/// Keeps what `good` likes, or all if it likes nothing.
-fn narrow<T>(candidates: &mut Vec<T>, good: impl Fn(&T) -> bool) {
-    if candidates.iter().any(&good) {
-        candidates.retain(good);
-    }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -161,6 +161,8 @@
     pub admit_cores: f64,
     /// Or this multiple of their memory.
     pub admit_memory: f64,
+    /// The tasks of a service come to one scheduler while that is up (else to any).
+    pub one_home: bool,
     /// `Confirmed` arrives when the task runs (else when it is accepted).
     pub confirm_when_running: bool,
     /// The list of machines must be subscribed to (else changes arrive unasked).
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -31,6 +31,7 @@
         kinds: vec![Kind { cores: 32.0, memory: 64.0 }],
         admit_cores: 2.5,
         admit_memory: 1.5,
+        one_home: false,
         confirm_when_running: false,
         subscribe: false,
         lists_free: true,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -81,12 +81,32 @@
     assert!(!sent.is_empty() && sent.iter().all(|s| s.1 == MachineId(1)), "{sent:?}");
 }
 
+/// All schedulers learn of a restart together: offers to cold machines start spread out and stay within a part of
+/// what these bear, on one machine and on all of them.
 #[test]
-fn a_cold_machine_gets_its_budget_and_no_more() {
-    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
-    w.step(100.0, vec![Event::ListWhole(vec![Entry { up_since: Some(99.0), ..entry(0) }])]);
-    let sent = sends(&w.step(100.1, (0..40).map(|i| Event::Submit(task(i, 0, 109.0))).collect()));
-    assert_eq!(sent.len(), 4);
+fn cold_machines_get_their_budget_and_no_more() {
+    for (schedulers, machines) in [(2, 1), (2, 4), (100, 1), (100, 30)] {
+        let mut all = 0;
+        let mut at_once = 0;
+        for seed in 0..10 {
+            let mut set = settings(vec![class(Effect::Safe)]);
+            set.schedulers = schedulers;
+            let mut w = Watched::new(set, seed);
+            let cold = |m| Entry { up_since: Some(99.0), ..entry(m) };
+            let mut events = vec![Event::ListWhole((0..machines).map(cold).collect())];
+            events.extend((0..40).map(|i| Event::Submit(task(i, 0, 109.0))));
+            at_once += sends(&w.step(100.0, events)).len();
+            all += (1..60).map(|i| sends(&w.step(100.0 + f64::from(i) * 0.1, vec![])).len()).sum::<usize>();
+        }
+        let (all, at_once) = (all as f64 / 10.0, at_once as f64 / 10.0);
+        // Of 8 offers a second and machine, half is used by all schedulers together.
+        let most = 8.0 * machines as f64 / schedulers as f64;
+        assert!(
+            all <= 6.0 * most + 1.0 && (all >= 1.0 || most < 0.3),
+            "{schedulers}, {machines}: {all} in 6 s"
+        );
+        assert!(at_once <= most.max(0.5), "{schedulers}, {machines}: {at_once} at once");
+    }
 }
 
 #[test]
