Memory crowds steeply, cores by the fade of the class; the working set remembers what was needed; time-outs double

A task that takes memory over 92% slows all others there, so it costs several lives; it was priced like crowded cores.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,12 +23,14 @@
 const SETTLED: Seconds = 4.0; // Memory of what a task uses grows for some seconds after its start.
 const VIEW_LAG: Seconds = 1.0; // Lists and reports speak of a moment about this long ago.
 const VIEW_LEAST: f64 = 0.1; // Where less than this share of a machine is asked for, use can't be told.
-const CORES_FULL: f64 = 0.95; // Cores in use are planned up to this share of a class's calm: use swings.
-const MEMORY_FULL: f64 = 0.85; // And memory up to this: machines slow down and evict above.
+const CORES_FULL: f64 = 0.95; // Comfort: cores in use up to this, as use swings,
+const MEMORY_FULL: f64 = 0.80; // and memory up to this: machines slow down and evict soon above.
 const ADMIT_FULL: f64 = 0.97; // Admission is planned up to this share: views are late and a refusal costs.
-const CROWDING: f64 = 3.0; // Service lost, by the task and by others, as a multiple of crowding.
+const CROWDING: f64 = 3.0; // Lives of the task lost by it and by others, for each machine's cores beyond,
+const CROWDING_MEMORY: f64 = 15.0; // and for each machine's memory beyond.
 const IN_USE: f64 = 1.6; // Keeping a machine in use costs this share of the price of all, over a mean life.
-const WORKING: f64 = 0.95; // The working set is filled up to this share of comfort.
+const WORKING: f64 = 0.9; // The working set is filled up to this share of comfort.
+const NEED_KEPT: f64 = 0.98; // What was needed falls by this at each look: lost tasks come again.
 const KEPT_OPEN: f64 = 0.2; // Machines of it count as this much fuller, so that it changes rarely.
 const MARGIN_LOSS: Seconds = 1.3; // Candidates that lose this much more than the best count as alike.
 
@@ -48,7 +50,7 @@
 
 const ANSWER: Seconds = 0.05; // Usual time to an answer before one was seen.
 const DEVIATIONS: f64 = 5.0; // An offer that takes the mean and this many mean deviations,
-const TIMEOUT_LEAST: Seconds = 0.15; // and this long at least, has timed out.
+const TIMEOUT_LEAST: Seconds = 0.2; // and this long at least, has timed out.
 const ASIDE: Seconds = 1.0; // A failure sets a machine aside until the next visit, for this long at least,
 const ASIDE_MOST: Seconds = 12.0; // then doubling, and for this long at most.
 const FULL_FOR: Seconds = 0.5; // A refusal tells that a machine is full for about this long, doubling,
@@ -88,15 +90,6 @@
     warm: bool,
 }
 
-/// What failed at a machine: for one class and tenant, or for all. After a pause that doubles with each
-/// failure one task at a time is let through, until one succeeds (a circuit breaker).
-#[derive(Debug)]
-struct Trouble {
-    whose: Option<(usize, usize)>,
-    strikes: i32,
-    until: Seconds,
-}
-
 /// What one of our tasks asks of its machine, and how far it has come.
 #[derive(Debug)]
 struct Load {
@@ -122,7 +115,9 @@
     others: [f64; 2], // and those that others' tasks ask for.
     used: [Mean; 2],  // Use of what is asked, where reports tell.
     unit: Mean,       // Seconds for one unit of start work.
-    troubles: Vec<Trouble>,
+    /// What failed, for one class and tenant or for all: how often in a row, until when it bars. After that
+    /// pause, which doubles, one task at a time is let through until one succeeds (a circuit breaker).
+    troubles: BTreeMap<Option<(usize, usize)>, (i32, Seconds)>,
     offered_at: Seconds, // The last offer while it was cold.
     report_at: Seconds,
     probe_at: Seconds,
@@ -131,39 +126,33 @@
 
 impl Machine {
     fn strike(&mut self, now: Seconds, whose: Option<(usize, usize)>, first: Seconds, most: Seconds) {
-        let at = self.troubles.iter().position(|t| t.whose == whose).unwrap_or_else(|| {
-            self.troubles.push(Trouble { whose, strikes: 0, until: now });
-            self.troubles.len() - 1
-        });
-        let trouble = &mut self.troubles[at];
-        trouble.until = now + doubled(first, trouble.strikes, most);
-        trouble.strikes = (trouble.strikes + 1).min(STRIKES_MOST);
+        let (strikes, until) = self.troubles.entry(whose).or_default();
+        *until = now + doubled(first, *strikes, most);
+        *strikes = (*strikes + 1).min(STRIKES_MOST);
     }
 
     /// An answer to this class and tenant takes back half of what stands against them.
     fn relieve(&mut self, whose: (usize, usize)) {
-        for trouble in self.troubles.iter_mut().filter(|t| t.whose.is_none_or(|w| w == whose)) {
-            trouble.strikes /= 2;
-            trouble.until = 0.0;
+        for (_, trouble) in self.troubles.iter_mut().filter(|(struck, _)| struck.is_none_or(|s| s == whose)) {
+            *trouble = (trouble.0 / 2, 0.0);
         }
-        self.troubles.retain(|t| t.strikes > 0);
+        self.troubles.retain(|_, trouble| trouble.0 > 0);
     }
 
     /// Whether a task of this class and tenant may be sent. What struck several classes or tenants strikes
     /// all that share what these have in common: guards against a tenant that is throttled, a class that
     /// fails, a machine that hangs, and mixtures. Harm: two troubles at once look like one that strikes all.
     fn open(&self, now: Seconds, whose: (usize, usize)) -> bool {
-        let bars = |troubles: &mut dyn Iterator<Item = &Trouble>| {
+        let bars = |after: Seconds| {
             let (mut first, mut same) = (None, (true, true));
-            for trouble in troubles {
-                let Some(struck) = trouble.whose else { return true };
+            for (struck, _) in self.troubles.iter().filter(|(_, trouble)| trouble.1 > after) {
+                let Some(struck) = *struck else { return true };
                 let one = *first.get_or_insert(struck);
                 same = (same.0 && struck.0 == one.0, same.1 && struck.1 == one.1);
             }
             first.is_some_and(|one| (!same.0 || one.0 == whose.0) && (!same.1 || one.1 == whose.1))
         };
-        !bars(&mut self.troubles.iter().filter(|t| t.until > now))
-            && (self.unanswered() == 0 || !bars(&mut self.troubles.iter()))
+        !bars(now) && (self.unanswered() == 0 || !bars(-1.0))
     }
 
     fn ready(&self) -> bool {
@@ -263,6 +252,7 @@
     /// Offers that may yet go to cold machines, where there are any, and when that was counted.
     cold_offers: (Option<f64>, Seconds),
     spare_at: Seconds,
+    need: [f64; 2],
 }
 
 /// A pause that doubles with each failure in a row.
@@ -317,6 +307,7 @@
             starts: [1.0, SETUP].map(|setup| Mean { value: START * setup, seen: GUESSED }),
             cold_offers: (None, 0.0),
             spare_at: 0.0,
+            need: [0.0; 2],
             settings,
         })
     }
@@ -423,16 +414,14 @@
     fn note(&mut self, now: Seconds, id: TaskId, note: Note) {
         let Some(job) = self.jobs.get(&id) else { return };
         let settled = job.state == State::Bound && now - job.sent_at > SETTLED;
-        let learn = |mean: &mut Mean, level: f64, asked: f64| {
-            if settled && asked > 0.0 && level.is_finite() {
-                mean.learn((level / asked).clamp(0.0, 3.0), MEAN_WEIGHT);
-            }
+        let (i, share) = match note {
+            Note::Runs => return self.started(now, id),
+            Note::UsesCores(level) => (0, level / job.task.cores),
+            Note::UsesMemory(level) => (1, level / job.task.memory),
+            Note::Served(_) | Note::MachineMemory(_) => return,
         };
-        match note {
-            Note::Runs => self.started(now, id),
-            Note::UsesCores(level) => learn(&mut self.used[0], level, job.task.cores),
-            Note::UsesMemory(level) => learn(&mut self.used[1], level, job.task.memory),
-            Note::Served(_) | Note::MachineMemory(_) => {}
+        if settled && share.is_finite() {
+            self.used[i].learn(share.clamp(0.0, 3.0), MEAN_WEIGHT);
         }
     }
 
@@ -496,8 +485,8 @@
     }
 
     fn take_report(&mut self, now: Seconds, id: Option<MachineId>, report: Option<Report>) {
-        let Some(machine) = id.and_then(|id| self.machines.get_mut(&id)) else { return };
-        let Some(report) = report else { return };
+        let machine = id.and_then(|id| self.machines.get_mut(&id));
+        let (Some(machine), Some(report)) = (machine, report) else { return };
         machine.report_at = now;
         let free = [report.free_cores, report.free_memory];
         let taken = [0, 1].map(|i| free[i].map(|free| machine.size[i] - free));
@@ -681,23 +670,25 @@
         if (0..2).any(|i| asked[i] > admits[i] * ADMIT_FULL) {
             return None;
         }
-        let crowded = (used[0] / (class.calm * CORES_FULL).max(0.01)).max(used[1] / MEMORY_FULL) - 1.0;
+        let own = ((used[0] - class.calm) / class.fade.max(0.01)).clamp(0.0, 1.0);
+        let crowded = own
+            + CROWDING * (used[0] - CORES_FULL).max(0.0)
+            + CROWDING_MEMORY * (used[1] - MEMORY_FULL).max(0.0);
         let opened = if machine.asked(0) > 0.0 { 1.0 } else { 2.0 };
         let in_use = if machine.spare { self.settings.prices.machines * IN_USE * opened } else { 0.0 };
-        let late = program * self.late(now, machine, class.aim, 1.0)
-            + (1.0 - program)
-                * self.late(now, machine, class.aim, self.starts[1].value / self.starts[0].value);
+        let [with, without] = self.starts.map(|start| start.value / self.starts[0].value);
+        let late = |work: f64| self.late(now, machine, class.aim, work);
+        let late = program * late(with) + (1.0 - program) * late(without);
         let life = task.life.unwrap_or(self.life.value);
-        Some(class.start_worth * late + life * CROWDING * crowded.max(0.0) + in_use * self.life.value)
+        Some(class.start_worth * late + life * crowded + in_use * self.life.value)
     }
 
     /// Remaining work known there, over the tasks that the machine can run side by side.
     fn backlog(&self, now: Seconds, machine: &Machine) -> f64 {
-        let lanes_cores = machine.size[0] / (self.used[0].value * self.sizes[0].value).max(1e-6);
-        let lanes_memory =
-            MEMORY_FULL * machine.size[1] / (self.used[1].value * self.sizes[1].value).max(1e-6);
+        let side_by_side = |i: usize| machine.size[i] / (self.used[i].value * self.sizes[i].value).max(1e-6);
         let own: f64 = machine.tasks.values().map(|load| (load.ends - now).max(0.0) * load.asked[0]).sum();
-        (own + machine.others[0] * self.life.value) / lanes_cores.min(lanes_memory).max(1.0)
+        (own + machine.others[0] * self.life.value)
+            / side_by_side(0).min(MEMORY_FULL * side_by_side(1)).max(1.0)
     }
 
     fn pick(&mut self, now: Seconds, id: TaskId) -> Option<MachineId> {
@@ -733,11 +724,12 @@
         if candidates.is_empty() {
             return None;
         }
-        let known: Vec<f64> = candidates.iter().map(|c| self.backlog(now, c.1)).collect();
-        let mean = known.iter().sum::<f64>() / known.len() as f64;
-        let new = |machine: &Machine| machine.tasks.is_empty() || cold(machine, safety, now);
-        let backlogs: Vec<f64> =
-            candidates.iter().zip(known).map(|(c, known)| if new(c.1) { mean } else { known }).collect();
+        let mut backlogs: Vec<f64> = candidates.iter().map(|c| self.backlog(now, c.1)).collect();
+        let mean = backlogs.iter().sum::<f64>() / backlogs.len() as f64;
+        for (backlog, (_, machine, _)) in backlogs.iter_mut().zip(&candidates) {
+            let new = machine.tasks.is_empty() || cold(machine, safety, now);
+            *backlog = if new { mean } else { *backlog };
+        }
         let work = job.task.life.map_or(self.work.value, |life| life * job.task.cores);
         let ids: Vec<MachineId> = candidates.iter().map(|c| c.0).collect();
         Some(ids[dice(&backlogs, work, self.work.value, &mut self.rng)])
@@ -750,14 +742,15 @@
             return;
         }
         self.spare_at = now + VIEW_LAG / 2.0;
-        let (mut need, mut order) = ([0.0; 2], Vec::new());
-        for (&id, machine) in self.machines.iter().filter(|(_, machine)| machine.entry.is_some()) {
-            for (i, need) in need.iter_mut().enumerate() {
-                *need += machine.asked(i) * machine.used[i].or(self.used[i].value);
-            }
-            let full = (machine.asked(0) / machine.size[0]).max(machine.asked(1) / machine.size[1]);
-            order.push((full + if machine.spare { 0.0 } else { KEPT_OPEN }, id));
-        }
+        let listed = || self.machines.iter().filter(|(_, machine)| machine.entry.is_some());
+        let in_use = |machine: &Machine, i: usize| machine.asked(i) * machine.used[i].or(self.used[i].value);
+        let in_use = [0, 1].map(|i| listed().map(|(_, machine)| in_use(machine, i)).sum::<f64>());
+        let mut need = [0, 1].map(|i| in_use[i].max(self.need[i] * NEED_KEPT));
+        let full =
+            |machine: &Machine| (machine.asked(0) / machine.size[0]).max(machine.asked(1) / machine.size[1]);
+        let kept = |machine: &Machine| if machine.spare { 0.0 } else { KEPT_OPEN };
+        let mut order: Vec<_> = listed().map(|(&id, machine)| (full(machine) + kept(machine), id)).collect();
+        self.need = need;
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, id) in order {
             let Some(machine) = self.machines.get_mut(&id) else { continue };
@@ -799,7 +792,8 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let class = &self.settings.classes[job.task.class];
         let once = self.settings.confirm_when_running || class.effect == Effect::Unsafe;
-        let wait = if once { class.deadline / 2.0 } else { timeout };
+        let repeated = doubled(timeout, job.sends as i32, class.deadline);
+        let wait = if once { class.deadline / 2.0 } else { repeated };
         let wait = wait.min(job.task.deadline - now - LEEWAY / 2.0);
         (job.state, job.sent_at, job.machine) = (State::Out, now, to);
         job.sends += 1;
@@ -830,8 +824,8 @@
     fn tell(&mut self, now: Seconds, out: &mut Vec<Action>) {
         let told = std::mem::take(&mut self.to_tell);
         if self.tells() {
-            let bytes: Vec<u8> =
-                told.iter().flat_map(|p| [p.0.to_le_bytes(), p.1.to_le_bytes()]).flatten().collect();
+            let bytes = told.iter().flat_map(|pair| [pair.0.to_le_bytes(), pair.1.to_le_bytes()]);
+            let bytes: Vec<u8> = bytes.flatten().collect();
             out.extend(bytes.chunks(256).map(|part| Action::Tell(part.to_vec())));
         }
         if self.programs.len() > KNOWN_MOST {
@@ -878,13 +872,13 @@
     }
 
     fn wake(&mut self, now: Seconds, out: &mut Vec<Action>) {
-        let mut at = if self.settings.probes { now + STALE / 2.0 } else { f64::INFINITY };
-        if let Some(asked) = self.list.asked_at {
-            at = at.min(asked + ASK_LOST + 0.01);
-        } else if !self.list.subscribed {
-            at = at.min(self.list.ask_at);
-        }
-        at = at.min(self.retry_at);
+        let probe = if self.settings.probes { now + STALE / 2.0 } else { f64::INFINITY };
+        let list = match self.list.asked_at {
+            Some(asked) => asked + ASK_LOST + 0.01,
+            None if self.list.subscribed => f64::INFINITY,
+            None => self.list.ask_at,
+        };
+        let at = probe.min(list).min(self.retry_at);
         if at.is_finite() && at < self.next_wake {
             self.next_wake = at;
             out.push(Action::Timer { after: (at - now).max(0.001), token: (at.max(0.0) * 1e6) as u64 });
