--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,6 +37,7 @@
 const START: Seconds = 0.2; // One start with the program at hand, before any was seen,
 const SETUP: f64 = 6.0; // and how many times that one without it takes.
 const WITHOUT: f64 = 3.0; // A start that took this many usual ones was one without the program.
+const STARTING: f64 = 3.0; // A second of a start costs this much, as it holds up others.
 const IN_TIME: f64 = 0.7; // From this share of the aim on a start may be late,
 const LATE_OVER: f64 = 0.6; // and over this share more that becomes sure.
 const HOMES: usize = 2; // Machines that all schedulers take for the homes of a service, by a hash.
@@ -642,19 +643,14 @@
             || self.programs.get(&pair(service, id)).is_some_and(|&until| now < until)
     }
 
-    /// The chance that a start of this much work is too late for the aim.
-    fn late(&self, now: Seconds, machine: &Machine, aim: Seconds, work: f64) -> f64 {
+    /// How long a start of this much work would take there.
+    fn start_takes(&self, now: Seconds, machine: &Machine, work: f64) -> Seconds {
+        let starts = || machine.tasks.values().filter(|load| !load.runs);
+        let before: f64 = starts().map(|load| load.start).sum();
         let unit = machine.unit.or(self.starts[0].value);
-        let before: f64 = machine.tasks.values().filter(|load| !load.runs).map(|load| load.start).sum();
-        let unit = machine
-            .tasks
-            .values()
-            .filter(|load| !load.runs)
-            .map(|load| (now - load.sent_at) / load.start_after)
-            .fold(unit, f64::max);
+        let unit = starts().map(|load| (now - load.sent_at) / load.start_after).fold(unit, f64::max);
         // Starts run side by side, so the pace of many says nothing of how long one takes.
-        let takes = (unit * (before + work)).max(self.starts[0].value * work);
-        ((takes / aim.max(1e-3) - IN_TIME) / LATE_OVER).clamp(0.0, 1.0)
+        (unit * (before + work)).max(self.starts[0].value * work)
     }
 
     /// What placing the task there is expected to lose, in seconds of its full service: a late start, crowded
@@ -677,10 +673,16 @@
         let opened = if machine.asked(0) > 0.0 { 1.0 } else { 2.0 };
         let in_use = if machine.spare { self.settings.prices.machines * IN_USE * opened } else { 0.0 };
         let [with, without] = self.starts.map(|start| start.value / self.starts[0].value);
-        let late = |work: f64| self.late(now, machine, class.aim, work);
+        // What came back was late already, or has had its first start: only the time it waits is lost.
+        let waited = if task.returned { class.deadline } else { now + class.deadline - task.deadline };
+        let late = |work: f64| {
+            let takes = self.start_takes(now, machine, work);
+            let late = ((waited + takes) / class.aim.max(1e-3) - IN_TIME) / LATE_OVER;
+            class.start_worth * late.clamp(0.0, 1.0) + STARTING * takes
+        };
         let late = program * late(with) + (1.0 - program) * late(without);
         let life = task.life.unwrap_or(self.life.value);
-        Some(class.start_worth * late + life * crowded + in_use * self.life.value)
+        Some(late + life * crowded + in_use * self.life.value)
     }
 
     /// Remaining work known there, over the tasks that the machine can run side by side.
@@ -720,7 +722,7 @@
         }
         let least = candidates.iter().map(|c| c.2).fold(f64::INFINITY, f64::min);
         candidates.retain(|c| c.2.is_finite() && c.2 <= least + MARGIN_LOSS);
-        candidates.truncate(HOMES);
+        candidates.truncate(if self.informed() { candidates.len() } else { HOMES });
         if candidates.is_empty() {
             return None;
         }
