--- a/src/choice.rs
+++ b/src/choice.rs
@@ -99,8 +99,8 @@
     sent_at: Seconds,
     answered: bool,
     runs: bool,
-    start: f64,       // Work of its start, alone
-    start_after: f64, // and with the starts before it.
+    start: f64,  // Work of its start,
+    alone: bool, // which had no start of ours before it.
 }
 
 #[derive(Debug, Default)]
@@ -115,7 +115,6 @@
     lagged_at: Seconds,
     others: [f64; 2], // and those that others' tasks ask for.
     used: [Mean; 2],  // Use of what is asked, where reports tell.
-    unit: Mean,       // Seconds for one unit of start work.
     /// What failed, for one class and tenant or for all: how often in a row, until when it bars. After that
     /// pause, which doubles, one task at a time is let through until one succeeds (a circuit breaker).
     troubles: BTreeMap<Option<(usize, usize)>, (i32, Seconds)>,
@@ -426,20 +425,15 @@
         }
     }
 
-    /// A task runs: how long its start took tells the pace of its machine's starts. Where the program was not
-    /// known to be there, a long start may tell of its lack as well as of a slow machine.
+    /// A task runs: a long start tells of the program's lack where it was not known to be there.
     fn started(&mut self, now: Seconds, id: TaskId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(machine) = self.machines.get_mut(&job.machine) else { return };
         let Some(load) = machine.tasks.get_mut(&id).filter(|load| !load.runs) else { return };
         load.runs = true;
-        let (took, alone) = ((now - load.sent_at).max(0.0), load.start_after == load.start);
-        let (unit, usual) = (took / load.start_after.max(1.0), self.starts[0].value);
-        if job.warm || unit < machine.unit.or(usual) {
-            machine.unit.learn(unit, STATE_WEIGHT);
-        }
-        if alone {
-            let without = !job.warm && took > WITHOUT * usual;
+        let took = (now - load.sent_at).max(0.0);
+        if load.alone {
+            let without = !job.warm && took > WITHOUT * self.starts[0].value;
             self.starts[usize::from(without)].learn(took.max(1e-3), ANSWER_WEIGHT);
         }
     }
@@ -541,10 +535,9 @@
         let (out, asked) = (job.state == State::Out, [job.task.cores, job.task.memory]);
         job.warm = warm;
         let start = if warm { 1.0 } else { self.starts[1].value / self.starts[0].value };
-        let start_after =
-            start + machine.tasks.values().filter(|load| !load.runs).map(|load| load.start).sum::<f64>();
+        let alone = machine.tasks.values().all(|load| load.runs);
         let ends = now + job.task.life.unwrap_or(mean_life);
-        let load = Load { asked, ends, sent_at: now, answered: !out, runs: !out, start, start_after };
+        let load = Load { asked, ends, sent_at: now, answered: !out, runs: !out, start, alone };
         machine.tasks.insert(id, load);
         machine.add(now, asked);
         if !out {
@@ -643,16 +636,6 @@
             || self.programs.get(&pair(service, id)).is_some_and(|&until| now < until)
     }
 
-    /// How long a start of this much work would take there.
-    fn start_takes(&self, now: Seconds, machine: &Machine, work: f64) -> Seconds {
-        let starts = || machine.tasks.values().filter(|load| !load.runs);
-        let before: f64 = starts().map(|load| load.start).sum();
-        let unit = machine.unit.or(self.starts[0].value);
-        let unit = starts().map(|load| (now - load.sent_at) / load.start_after).fold(unit, f64::max);
-        // Starts run side by side, so the pace of many says nothing of how long one takes.
-        (unit * (before + work)).max(self.starts[0].value * work)
-    }
-
     /// What placing the task there is expected to lose, in seconds of its full service: a late start, crowded
     /// cores or memory over its life (its own and the others'), a machine kept in use. `None` where it would
     /// not be admitted, or do more harm than good.
@@ -675,8 +658,13 @@
         let [with, without] = self.starts.map(|start| start.value / self.starts[0].value);
         // What came back was late already, or has had its first start: only the time it waits is lost.
         let waited = if task.returned { class.deadline } else { now + class.deadline - task.deadline };
+        // Starts of ours that wait there tell of its pace, where it grows slower.
+        let starts = || machine.tasks.values().filter(|load| !load.runs);
+        let before: f64 = starts().map(|load| load.start).sum();
+        let age = |load: &Load| (now - load.sent_at) / load.start;
+        let pace = starts().map(age).fold(self.starts[0].value, f64::max);
         let late = |work: f64| {
-            let takes = self.start_takes(now, machine, work);
+            let takes = pace * (before + work);
             let late = ((waited + takes) / class.aim.max(1e-3) - IN_TIME) / LATE_OVER;
             class.start_worth * late.clamp(0.0, 1.0) + STARTING * takes
         };
