--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::BTreeMap;
-use tidespur::Scheduler;
-use tidespur::interface::*;
+use tidespur_policy::Scheduler;
+use tidespur_policy::interface::*;
 
 pub fn class(effect: Effect) -> Class {
     Class {
--- a/tests/random.rs
+++ b/crates/policy/tests/random.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use rand::{Rng, SeedableRng};
-use tidespur::interface::*;
+use tidespur_policy::interface::*;
 
 fn play(seed: u64) -> (usize, Vec<Action>) {
     let mut rng = rand_pcg::Pcg32::seed_from_u64(seed);
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use tidespur::interface::*;
+use tidespur_policy::interface::*;
 
 const KEYED: Effect = Effect::Keyed { group: Place::Cell, window: 3.0 };
 
@@ -168,7 +168,7 @@
 
 #[test]
 fn settings_that_make_no_sense_are_named() {
-    use tidespur::Scheduler;
+    use tidespur_policy::Scheduler;
     let field = |set: Settings| Scheduler::new(set, 1).unwrap_err().field;
     assert_eq!(field(settings(vec![])), "classes");
     assert_eq!(field(settings(vec![Class { aim: -1.0, ..class(Effect::Safe) }])), "classes");
--- /dev/null
+++ b/crates/simhost/src/lib.rs
@@ -0,0 +1,3 @@
+//! The adapter between the operators' simulator and the policy. Decides nothing.
+
+pub mod wire;
--- a/src/bin/tidespur-simhost.rs
+++ b/crates/simhost/src/main.rs
@@ -3,7 +3,7 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-use tidespur::wire::Host;
+use tidespur_simhost::wire::Host;
 
 fn main() -> ExitCode {
     let mut host = Host::default();
--- a/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,4 +1,4 @@
-//! Translation between the simulator's wire and [`interface`](crate::interface). No decisions.
+//! Translation between the simulator's wire and [`interface`](tidespur_policy::interface). No decisions.
 
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -7,8 +7,8 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::Scheduler;
-use crate::interface::*;
+use tidespur_policy::Scheduler;
+use tidespur_policy::interface::*;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
