Packages api, store, link, config, net: objects, versions, frames, settings, sockets

Need: the ground under edge and planner. api reads and checks published objects, words errors as Status and applies the three kinds of patch; store keeps versions, a bounded history and watch cursors that hold no memory; link frames messages in postcard; config reads HCL and names file, line, key and range; net is the only one with sockets. Tests: a watch read in pieces replays to the list (property), frames cut anywhere, bad settings with their place.

--- /dev/null
+++ b/crates/api/src/meta.rs
@@ -0,0 +1,94 @@
+//! Reading and writing of an object's metadata.
+
+use serde_json::{Map, Value, json};
+
+static NULL: Value = Value::Null;
+
+/// Follows a path of keys; null where it ends early.
+pub fn at<'a>(object: &'a Value, path: &[&str]) -> &'a Value {
+    path.iter().try_fold(object, |value, key| value.get(key)).unwrap_or(&NULL)
+}
+
+/// A string at a path, or "".
+pub fn text<'a>(object: &'a Value, path: &[&str]) -> &'a str {
+    at(object, path).as_str().unwrap_or("")
+}
+
+/// `metadata.name`.
+pub fn name(object: &Value) -> &str {
+    text(object, &["metadata", "name"])
+}
+
+/// `metadata.namespace`.
+pub fn namespace(object: &Value) -> &str {
+    text(object, &["metadata", "namespace"])
+}
+
+/// `metadata.uid`.
+pub fn uid(object: &Value) -> &str {
+    text(object, &["metadata", "uid"])
+}
+
+/// `metadata.resourceVersion`, 0 where there is none or it is no number.
+pub fn version(object: &Value) -> u64 {
+    text(object, &["metadata", "resourceVersion"]).parse().unwrap_or(0)
+}
+
+/// One annotation.
+pub fn annotation<'a>(object: &'a Value, key: &str) -> Option<&'a str> {
+    at(object, &["metadata", "annotations"]).get(key).and_then(Value::as_str)
+}
+
+/// One label.
+pub fn label<'a>(object: &'a Value, key: &str) -> Option<&'a str> {
+    at(object, &["metadata", "labels"]).get(key).and_then(Value::as_str)
+}
+
+/// The object's map of that key, made where it is missing or of another type.
+pub fn map_mut<'a>(object: &'a mut Value, key: &str) -> &'a mut Map<String, Value> {
+    if !object.is_object() {
+        *object = json!({});
+    }
+    if !object[key].is_object() {
+        object[key] = json!({});
+    }
+    match &mut object[key] {
+        Value::Object(map) => map,
+        _ => unreachable!("made an object just above"),
+    }
+}
+
+/// Sets a key of the metadata.
+pub fn set(object: &mut Value, key: &str, value: Value) {
+    map_mut(object, "metadata").insert(key.to_owned(), value);
+}
+
+/// Sets or replaces the condition of that type.
+pub fn set_condition(object: &mut Value, condition: Value) {
+    let status = map_mut(object, "status");
+    let list = status.entry("conditions").or_insert_with(|| json!([]));
+    if !list.is_array() {
+        *list = json!([]);
+    }
+    let Value::Array(list) = list else { return };
+    match list.iter_mut().find(|old| old["type"] == condition["type"]) {
+        Some(old) => *old = condition,
+        None => list.push(condition),
+    }
+}
+
+/// Whether the condition of that type stands at `True`.
+pub fn has_condition(object: &Value, kind: &str) -> bool {
+    let list = at(object, &["status", "conditions"]).as_array();
+    list.is_some_and(|list| list.iter().any(|c| c["type"] == kind && c["status"] == "True"))
+}
+
+/// A point in time (Unix seconds) as published objects write it.
+pub fn timestamp(unix: f64) -> String {
+    jiff::Timestamp::from_second(unix as i64).map(|t| t.to_string()).unwrap_or_default()
+}
+
+/// The Unix seconds of a published timestamp.
+pub fn unix(text: &str) -> Option<f64> {
+    text.parse::<jiff::Timestamp>().ok().map(|t| t.as_millisecond() as f64 / 1e3)
+}
--- /dev/null
+++ b/crates/api/src/resource.rs
@@ -0,0 +1,170 @@
+//! The table of what is served.
+
+use k8s_openapi::api::{batch::v1 as batch, core::v1 as core};
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Value, json};
+
+/// Brings a value through its published type; unknown fields are told by path.
+pub type ThroughType = fn(Value, &mut Vec<String>) -> Result<Value, String>;
+
+/// A kind of object that is served.
+#[derive(Debug)]
+pub struct Resource {
+    /// Index in [`RESOURCES`].
+    pub index: usize,
+    /// API group, "" for core.
+    pub group: &'static str,
+    /// Version in the group.
+    pub version: &'static str,
+    /// Name in paths.
+    pub plural: &'static str,
+    /// Name of one.
+    pub singular: &'static str,
+    /// Kind of its objects.
+    pub kind: &'static str,
+    /// Short names.
+    pub short: &'static [&'static str],
+    /// Whether it lives in namespaces.
+    pub namespaced: bool,
+    /// Whether it has a status subresource.
+    pub status: bool,
+    /// Brings a value through the published type.
+    pub through_type: ThroughType,
+}
+
+fn through<T: Serialize + DeserializeOwned>(value: Value, unknown: &mut Vec<String>) -> Result<Value, String> {
+    let mut track = serde_path_to_error::Track::new();
+    let noting = |path: serde_ignored::Path<'_>| {
+        let path = path.to_string().replace(".?", "");
+        // These two say what the object is and are checked apart.
+        if unknown.len() < 16 && path != "kind" && path != "apiVersion" {
+            unknown.push(path);
+        }
+    };
+    let mut note = noting;
+    let ignored = serde_ignored::Deserializer::new(value, &mut note);
+    let typed: Result<T, _> = T::deserialize(serde_path_to_error::Deserializer::new(ignored, &mut track));
+    let typed = typed.map_err(|e| format!("{}: {e}", track.path()))?;
+    serde_json::to_value(typed).map_err(|e| e.to_string())
+}
+
+/// All that is served, in the order of [`Resource::index`].
+pub static RESOURCES: [Resource; 5] = [
+    Resource {
+        index: 0,
+        group: "",
+        version: "v1",
+        plural: "namespaces",
+        singular: "namespace",
+        kind: "Namespace",
+        short: &["ns"],
+        namespaced: false,
+        status: true,
+        through_type: through::<core::Namespace>,
+    },
+    Resource {
+        index: 1,
+        group: "",
+        version: "v1",
+        plural: "nodes",
+        singular: "node",
+        kind: "Node",
+        short: &["no"],
+        namespaced: false,
+        status: true,
+        through_type: through::<core::Node>,
+    },
+    Resource {
+        index: 2,
+        group: "",
+        version: "v1",
+        plural: "pods",
+        singular: "pod",
+        kind: "Pod",
+        short: &["po"],
+        namespaced: true,
+        status: true,
+        through_type: through::<core::Pod>,
+    },
+    Resource {
+        index: 3,
+        group: "",
+        version: "v1",
+        plural: "events",
+        singular: "event",
+        kind: "Event",
+        short: &["ev"],
+        namespaced: true,
+        status: false,
+        through_type: through::<core::Event>,
+    },
+    Resource {
+        index: 4,
+        group: "batch",
+        version: "v1",
+        plural: "jobs",
+        singular: "job",
+        kind: "Job",
+        short: &[],
+        namespaced: true,
+        status: true,
+        through_type: through::<batch::Job>,
+    },
+];
+
+/// Namespaces.
+pub static NAMESPACES: &Resource = &RESOURCES[0];
+/// Nodes.
+pub static NODES: &Resource = &RESOURCES[1];
+/// Pods.
+pub static PODS: &Resource = &RESOURCES[2];
+/// Events.
+pub static EVENTS: &Resource = &RESOURCES[3];
+/// Jobs.
+pub static JOBS: &Resource = &RESOURCES[4];
+
+impl Resource {
+    /// `apiVersion` of its objects.
+    pub fn api_version(&self) -> String {
+        if self.group.is_empty() { self.version.into() } else { format!("{}/{}", self.group, self.version) }
+    }
+
+    /// The one of a group that paths call so.
+    pub fn find(group: &str, plural: &str) -> Option<&'static Resource> {
+        RESOURCES.iter().find(|r| r.group == group && r.plural == plural)
+    }
+
+    /// The one that people call so: plural, singular, kind or short name.
+    pub fn called(word: &str) -> Option<&'static Resource> {
+        let word = word.to_ascii_lowercase();
+        RESOURCES.iter().find(|r| {
+            r.plural == word || r.singular == word || r.kind.eq_ignore_ascii_case(&word) || r.short.contains(&word.as_str())
+        })
+    }
+
+    /// Path of a collection, or of one object.
+    pub fn path(&self, namespace: &str, name: &str) -> String {
+        let group = if self.group.is_empty() { "/api".into() } else { format!("/apis/{}", self.group) };
+        let space =
+            if self.namespaced && !namespace.is_empty() { format!("/namespaces/{namespace}") } else { String::new() };
+        let name = if name.is_empty() { String::new() } else { format!("/{name}") };
+        format!("{group}/{}{space}/{}{name}", self.version, self.plural)
+    }
+}
+
+const VERBS: [&str; 8] = ["create", "delete", "deletecollection", "get", "list", "patch", "update", "watch"];
+
+/// `APIResourceList` of a group.
+pub fn resource_list(group: &str) -> Value {
+    let mut list = Vec::new();
+    for r in RESOURCES.iter().filter(|r| r.group == group) {
+        list.push(json!({"name": r.plural, "singularName": r.singular, "namespaced": r.namespaced,
+            "kind": r.kind, "verbs": VERBS, "shortNames": r.short}));
+        if r.status {
+            list.push(json!({"name": format!("{}/status", r.plural), "singularName": "",
+                "namespaced": r.namespaced, "kind": r.kind, "verbs": ["get", "patch", "update"]}));
+        }
+    }
+    let version = if group.is_empty() { "v1".into() } else { format!("{group}/v1") };
+    json!({"kind": "APIResourceList", "apiVersion": "v1", "groupVersion": version, "resources": list})
+}
--- /dev/null
+++ b/crates/api/src/status.rs
@@ -0,0 +1,134 @@
+//! Errors as the published `Status` object.
+
+use serde_json::{Value, json};
+
+/// One cause of a 422, as in `status.details.causes`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cause {
+    /// Published cause type, such as `FieldValueInvalid`.
+    pub reason: &'static str,
+    /// Path of the field.
+    pub field: String,
+    /// What is wrong and what is allowed.
+    pub message: String,
+}
+
+/// An error of the API.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ApiError {
+    /// HTTP status.
+    pub code: u16,
+    /// Published reason, such as `NotFound`.
+    pub reason: &'static str,
+    /// For people.
+    pub message: String,
+    /// Causes by field.
+    pub causes: Vec<Cause>,
+    /// Seconds to stay away.
+    pub retry_after: Option<u32>,
+    /// Kind and name of what it is about.
+    pub about: Option<(String, String)>,
+}
+
+impl ApiError {
+    /// An error with a code, its published reason and a message.
+    pub fn new(code: u16, reason: &'static str, message: impl Into<String>) -> Self {
+        let message = message.into();
+        Self { code, reason, message, causes: vec![], retry_after: None, about: None }
+    }
+    /// 400.
+    pub fn bad_request(message: impl Into<String>) -> Self {
+        Self::new(400, "BadRequest", message)
+    }
+    /// 404 for an object.
+    pub fn not_found(plural: &str, name: &str) -> Self {
+        let mut error = Self::new(404, "NotFound", format!("{plural} \"{name}\" not found"));
+        error.about = Some((plural.to_owned(), name.to_owned()));
+        error
+    }
+    /// 404 for a path.
+    pub fn no_such_path() -> Self {
+        Self::new(404, "NotFound", "the server could not find the requested resource")
+    }
+    /// 405.
+    pub fn method() -> Self {
+        let message = "the server does not allow this method on the requested resource";
+        Self::new(405, "MethodNotAllowed", message)
+    }
+    /// 409 where a name is taken.
+    pub fn exists(plural: &str, name: &str) -> Self {
+        let mut error = Self::new(409, "AlreadyExists", format!("{plural} \"{name}\" already exists"));
+        error.about = Some((plural.to_owned(), name.to_owned()));
+        error
+    }
+    /// 409 where the object has changed meanwhile.
+    pub fn conflict(plural: &str, name: &str, why: &str) -> Self {
+        let message = format!("Operation cannot be fulfilled on {plural} \"{name}\": {why}");
+        let mut error = Self::new(409, "Conflict", message);
+        error.about = Some((plural.to_owned(), name.to_owned()));
+        error
+    }
+    /// 410.
+    pub fn expired(message: impl Into<String>) -> Self {
+        Self::new(410, "Expired", message)
+    }
+    /// 422 with causes.
+    pub fn invalid(kind: &str, name: &str, causes: Vec<Cause>) -> Self {
+        let list: Vec<String> = causes.iter().map(|c| format!("{}: {}", c.field, c.message)).collect();
+        let message = format!("{kind} \"{name}\" is invalid: {}", list.join(", "));
+        let mut error = Self::new(422, "Invalid", message);
+        error.causes = causes;
+        error.about = Some((kind.to_owned(), name.to_owned()));
+        error
+    }
+    /// 429 with advice.
+    pub fn too_many(message: impl Into<String>, seconds: u32) -> Self {
+        let mut error = Self::new(429, "TooManyRequests", message);
+        error.retry_after = Some(seconds);
+        error
+    }
+    /// 503 with advice.
+    pub fn unavailable(message: impl Into<String>, seconds: u32) -> Self {
+        let mut error = Self::new(503, "ServiceUnavailable", message);
+        error.retry_after = Some(seconds);
+        error
+    }
+
+    /// The `Status` object.
+    pub fn to_status(&self) -> Value {
+        let mut details = serde_json::Map::new();
+        if let Some((kind, name)) = &self.about {
+            details.insert("kind".into(), json!(kind));
+            details.insert("name".into(), json!(name));
+        }
+        if !self.causes.is_empty() {
+            let cause = |c: &Cause| json!({"reason": c.reason, "message": c.message, "field": c.field});
+            details.insert("causes".into(), self.causes.iter().map(cause).collect());
+        }
+        if let Some(seconds) = self.retry_after {
+            details.insert("retryAfterSeconds".into(), json!(seconds));
+        }
+        let mut status = json!({
+            "kind": "Status", "apiVersion": "v1", "metadata": {}, "status": "Failure",
+            "message": self.message, "reason": self.reason, "code": self.code,
+        });
+        if !details.is_empty() {
+            status["details"] = Value::Object(details);
+        }
+        status
+    }
+}
+
+impl std::fmt::Display for ApiError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {}: {}", self.code, self.reason, self.message)
+    }
+}
+
+impl std::error::Error for ApiError {}
+
+/// The `Status` of a deletion that is done.
+pub fn success(plural: &str, name: &str, uid: &str) -> Value {
+    json!({"kind": "Status", "apiVersion": "v1", "metadata": {}, "status": "Success",
+        "details": {"name": name, "kind": plural, "uid": uid}})
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,50 @@
+//! Settings in HCL.
+//!
+//! One file serves edge and planner, so that both mean the same by a class or a kind. [`load`] reads and checks
+//! it; [`Config::policy`] makes of it what a planner hands to the policy.
+
+mod check;
+mod locate;
+mod model;
+mod policy;
+
+pub use check::Problem;
+pub use model::*;
+
+use std::path::Path;
+
+/// The settings that `tidespur up` uses where no file is named; also the documented example.
+pub const DEFAULT: &str = include_str!("../default.hcl");
+
+/// Reads and checks a file.
+pub fn load(path: &Path) -> Result<Config, Problem> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Problem { file: name.clone(), line: 0, key: String::new(), what: format!("can't be read: {e}") })?;
+    parse(&name, &text)
+}
+
+/// Checks a text; `file` is for messages.
+pub fn parse(file: &str, text: &str) -> Result<Config, Problem> {
+    let problem = |line: usize, key: &str, what: String| Problem { file: file.into(), line, key: key.into(), what };
+    let deserializer = hcl::de::Deserializer::from_str(text).map_err(|e| match &e {
+        hcl::Error::Parse(p) => problem(p.location().line(), "", p.to_string()),
+        other => problem(0, "", other.to_string()),
+    })?;
+    let config: Config = serde_path_to_error::deserialize(deserializer).map_err(|e| {
+        let what = e.inner().to_string();
+        let mut path: Vec<String> = e.path().iter().map(|s| s.to_string()).collect();
+        // An unknown key is named in the message alone.
+        if let Some(key) = what.strip_prefix("unknown field `").and_then(|rest| rest.split('`').next()) {
+            if path.last().is_none_or(|last| last != key) {
+                path.push(key.to_owned());
+            }
+        }
+        problem(locate::line(text, &path), &path.join("."), what)
+    })?;
+    config.check().map_err(|(path, what)| {
+        let keys: Vec<String> = path.split('.').map(str::to_owned).collect();
+        problem(locate::line(text, &keys), &path, what)
+    })?;
+    Ok(config)
+}
--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,39 @@
+//! Good settings, and bad ones with the place named.
+
+use tidespur_config::{DEFAULT, parse};
+
+#[test]
+fn the_example_is_taken_and_says_what_holds_anyway() {
+    let config = parse("default.hcl", DEFAULT).unwrap();
+    assert_eq!(config.class.keys().collect::<Vec<_>>(), ["termin-web", "slot-abgleich"]);
+    config.policy(0, 0).check().unwrap();
+    let short: String = DEFAULT.split("\nnodes {").next().unwrap().to_owned();
+    let bare = parse("short.hcl", &short).unwrap();
+    assert_eq!(format!("{bare:?}"), format!("{config:?}"), "the example's values are the defaults");
+}
+
+#[test]
+fn bad_settings_name_file_line_key_and_range() {
+    for (from, to, key, says) in [
+        ("deadline    = 6 ", "deadline    = -1 ", "class.termin-web.deadline", "allowed is 0.7 to 86400"),
+        ("spread_most = 3", "spread_least = 3", "class.slot-abgleich.spread_least", "unknown field"),
+        ("admit_cores  = 2.5", "admit_cores  = \"much\"", "nodes.admit_cores", "invalid type"),
+        ("effect      = \"unsafe\"", "effect      = \"keyed\"", "class.slot-abgleich.effect", "needs a group"),
+        ("share       = 1.0", "share       = 1.5", "tenant.default.share", "allowed is 0 to 1"),
+        ("settle      = 3", "settle      = 1e9", "owner.settle", "allowed is 0 to 3600"),
+    ] {
+        assert!(DEFAULT.contains(from), "{from}");
+        let text = DEFAULT.replace(from, to);
+        let line = text.lines().position(|l| l.contains(to.trim())).unwrap() + 1;
+        let problem = parse("site.hcl", &text).unwrap_err();
+        assert_eq!((problem.line, problem.key.as_str()), (line, key), "{problem}");
+        let shown = problem.to_string();
+        assert!(shown.starts_with(&format!("site.hcl:{line}: ")) && shown.contains(says), "{shown}");
+    }
+}
+
+#[test]
+fn bad_syntax_names_its_line() {
+    let problem = parse("site.hcl", "a = 1\nb = = 2\n").unwrap_err();
+    assert_eq!(problem.line, 2, "{problem}");
+}
--- /dev/null
+++ b/crates/link/src/message.rs
@@ -0,0 +1,127 @@
+//! Messages.
+
+use serde::{Deserialize, Serialize};
+use tidespur_api::task::Ask;
+
+/// From an edge to a planner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToPlanner {
+    /// Answer to `Hello`.
+    Welcome {
+        /// Name of the edge.
+        edge: String,
+    },
+    /// A task to place; one of `Placed`, `Refused`, `Failed` is owed.
+    Place(Ask),
+    /// A task that a node holds; from now on this planner tells of it.
+    InPlace {
+        /// The task.
+        ask: Ask,
+        /// The node.
+        node: String,
+    },
+    /// Nobody wants the task any more: nothing more may be sent for it, and what runs of it is to be stopped.
+    Stop {
+        /// The task.
+        uid: String,
+    },
+    /// Asks whether a node holds what was once offered for this task.
+    Locate {
+        /// The question's subject.
+        uid: String,
+        /// Namespace and name at nodes.
+        tenant: String,
+        /// See `tenant`.
+        name: String,
+    },
+    /// Still here.
+    Ping,
+}
+
+/// How a placed task ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// It finished.
+    Succeeded,
+    /// It ended with an error.
+    Failed,
+    /// Evicted for memory.
+    Evicted,
+    /// Pushed out by a higher priority.
+    PushedOut,
+    /// Sent away by a node that drains.
+    SentAway,
+    /// Lost with its node.
+    Lost,
+    /// Stopped as its owner wanted, or moved by the policy.
+    Stopped,
+}
+
+/// What is known of a task that may have been taken by a node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Found {
+    /// This node holds it.
+    At(String),
+    /// It came to its end there.
+    Ended(End),
+    /// No node holds it, and every node that it was offered to has been heard since.
+    Nowhere,
+    /// A node that it may have gone to can't be heard now.
+    Unclear,
+}
+
+/// From a planner to an edge.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToEdge {
+    /// First message.
+    Hello {
+        /// Name of the planner.
+        planner: String,
+        /// Its number.
+        ordinal: u32,
+    },
+    /// A node accepted the task: its one answer.
+    Placed {
+        /// The task.
+        uid: String,
+        /// The node.
+        node: String,
+    },
+    /// Not placed and never run: its one answer.
+    Refused {
+        /// The task.
+        uid: String,
+        /// Why, for people.
+        why: String,
+        /// Advice to stay away this long, in seconds; 0: none.
+        retry_in: f64,
+    },
+    /// No claim whether it ran: its one answer.
+    Failed {
+        /// The task.
+        uid: String,
+        /// Why, for people.
+        why: String,
+    },
+    /// A placed task runs now.
+    Runs {
+        /// The task.
+        uid: String,
+    },
+    /// A placed task ended.
+    Ended {
+        /// The task.
+        uid: String,
+        /// How.
+        end: End,
+    },
+    /// Answer to `Locate`.
+    Located {
+        /// The question's subject.
+        uid: String,
+        /// What is known.
+        found: Found,
+    },
+    /// Still here.
+    Ping,
+}
