--- a/crates/api/src/decode.rs
+++ b/crates/api/src/decode.rs
@@ -45,7 +45,9 @@
 
 /// An object of this resource from a body: through the published type, with the warnings that are due.
 pub fn object(
-    resource: &Resource, body: &[u8], validation: FieldValidation,
+    resource: &Resource,
+    body: &[u8],
+    validation: FieldValidation,
 ) -> Result<(Object, Vec<String>), ApiError> {
     let (value, repeated) = json(body)?;
     let warnings = repeated.into_iter().map(|path| format!("duplicate field \"{path}\"")).collect();
@@ -54,19 +56,26 @@
 
 /// An object of this resource from a value, such as a patched one.
 pub fn typed(
-    resource: &Resource, value: Value, mut warnings: Vec<String>, validation: FieldValidation,
+    resource: &Resource,
+    value: Value,
+    mut warnings: Vec<String>,
+    validation: FieldValidation,
 ) -> Result<(Object, Vec<String>), ApiError> {
     for (key, expected) in [("kind", resource.kind.to_owned()), ("apiVersion", resource.api_version())] {
         let found = value.get(key).and_then(Value::as_str);
         if found.is_some_and(|found| found != expected) {
             let found = found.unwrap_or("");
-            return Err(ApiError::bad_request(format!("{key} is {found:?} in the body, {expected:?} in the path")));
+            return Err(ApiError::bad_request(format!(
+                "{key} is {found:?} in the body, {expected:?} in the path"
+            )));
         }
     }
     let mut unknown = Vec::new();
     let mut object = (resource.through_type)(value, &mut unknown).map_err(|problem| {
         let (kind, version) = (resource.kind, resource.version);
-        ApiError::bad_request(format!("{kind} in version \"{version}\" cannot be handled as a {kind}: {problem}"))
+        ApiError::bad_request(format!(
+            "{kind} in version \"{version}\" cannot be handled as a {kind}: {problem}"
+        ))
     })?;
     warnings.extend(unknown.into_iter().map(|path| format!("unknown field \"{path}\"")));
     if validation == FieldValidation::Strict && !warnings.is_empty() {
--- a/crates/api/src/openapi.rs
+++ b/crates/api/src/openapi.rs
@@ -16,10 +16,13 @@
 pub fn group(group: &str) -> Value {
     let (mut paths, mut schemas) = (Map::new(), Map::new());
     for r in RESOURCES.iter().filter(|r| r.group == group) {
-        schemas.insert(schema(r), json!({"type": "object", "properties": {
+        schemas.insert(
+            schema(r),
+            json!({"type": "object", "properties": {
                 "apiVersion": {"type": "string"}, "kind": {"type": "string"},
                 "metadata": {"type": "object"}, "spec": {"type": "object"}, "status": {"type": "object"}},
-            "x-kubernetes-group-version-kind": [{"group": r.group, "version": r.version, "kind": r.kind}]}));
+            "x-kubernetes-group-version-kind": [{"group": r.group, "version": r.version, "kind": r.kind}]}),
+        );
         let space = if r.namespaced { "{namespace}" } else { "" };
         let operation = |action: &str, verb: &str| {
             json!({"operationId": format!("{verb}{}", r.kind), "x-kubernetes-action": action,
--- a/crates/api/src/patch.rs
+++ b/crates/api/src/patch.rs
@@ -24,8 +24,10 @@
             other => Err(ApiError::new(
                 415,
                 "UnsupportedMediaType",
-                format!("the media type {other:?} of the patch is not supported: use application/json-patch+json, \
-                    application/merge-patch+json or application/strategic-merge-patch+json"),
+                format!(
+                    "the media type {other:?} of the patch is not supported: use application/json-patch+json, \
+                    application/merge-patch+json or application/strategic-merge-patch+json"
+                ),
             )),
         }
     }
@@ -62,7 +64,9 @@
 /// Keys by which the published types merge their lists.
 fn merge_key(list: &str) -> Option<&'static str> {
     Some(match list {
-        "containers" | "initContainers" | "ephemeralContainers" | "env" | "volumes" | "imagePullSecrets" => "name",
+        "containers" | "initContainers" | "ephemeralContainers" | "env" | "volumes" | "imagePullSecrets" => {
+            "name"
+        }
         "conditions" => "type",
         "ownerReferences" => "uid",
         "ports" => "containerPort",
@@ -88,7 +92,9 @@
                     *target = Value::Null;
                     return Ok(());
                 }
-                Some(other) => return Err(ApiError::bad_request(format!("unknown $patch directive {other:?}"))),
+                Some(other) => {
+                    return Err(ApiError::bad_request(format!("unknown $patch directive {other:?}")));
+                }
             }
             if !target.is_object() {
                 *target = Value::Object(Default::default());
@@ -116,7 +122,8 @@
                     _ => vec![],
                 };
                 for item in items {
-                    let place = list.iter().position(|old| old.get(by) == item.get(by) && item.get(by).is_some());
+                    let place =
+                        list.iter().position(|old| old.get(by) == item.get(by) && item.get(by).is_some());
                     match (item["$patch"].as_str(), place) {
                         (Some("delete"), Some(place)) => drop(list.remove(place)),
                         (Some("delete"), None) => {}
--- a/crates/api/src/resource.rs
+++ b/crates/api/src/resource.rs
@@ -32,7 +32,10 @@
     pub through_type: ThroughType,
 }
 
-fn through<T: Serialize + DeserializeOwned>(value: Value, unknown: &mut Vec<String>) -> Result<Value, String> {
+fn through<T: Serialize + DeserializeOwned>(
+    value: Value,
+    unknown: &mut Vec<String>,
+) -> Result<Value, String> {
     let mut track = serde_path_to_error::Track::new();
     let noting = |path: serde_ignored::Path<'_>| {
         let path = path.to_string().replace(".?", "");
@@ -138,15 +141,21 @@
     pub fn called(word: &str) -> Option<&'static Resource> {
         let word = word.to_ascii_lowercase();
         RESOURCES.iter().find(|r| {
-            r.plural == word || r.singular == word || r.kind.eq_ignore_ascii_case(&word) || r.short.contains(&word.as_str())
+            r.plural == word
+                || r.singular == word
+                || r.kind.eq_ignore_ascii_case(&word)
+                || r.short.contains(&word.as_str())
         })
     }
 
     /// Path of a collection, or of one object.
     pub fn path(&self, namespace: &str, name: &str) -> String {
         let group = if self.group.is_empty() { "/api".into() } else { format!("/apis/{}", self.group) };
-        let space =
-            if self.namespaced && !namespace.is_empty() { format!("/namespaces/{namespace}") } else { String::new() };
+        let space = if self.namespaced && !namespace.is_empty() {
+            format!("/namespaces/{namespace}")
+        } else {
+            String::new()
+        };
         let name = if name.is_empty() { String::new() } else { format!("/{name}") };
         format!("{group}/{}{space}/{}{name}", self.version, self.plural)
     }
--- a/crates/api/src/selector.rs
+++ b/crates/api/src/selector.rs
@@ -34,16 +34,24 @@
     pub fn parse(labels: Option<&str>, fields: Option<&str>) -> Result<Self, ApiError> {
         let read = |text: Option<&str>, what: &str| match text {
             None => Ok(vec![]),
-            Some(text) if text.len() > 4096 => Err(ApiError::bad_request(format!("{what} selector is too long"))),
-            Some(text) => terms(text).iter().map(|t| demand(t)).collect::<Result<Vec<_>, _>>().map_err(|term| {
-                let found = format!("unable to parse {what} selector {text:?}: {term:?} is not understood");
-                ApiError::bad_request(found)
-            }),
+            Some(text) if text.len() > 4096 => {
+                Err(ApiError::bad_request(format!("{what} selector is too long")))
+            }
+            Some(text) => {
+                terms(text).iter().map(|t| demand(t)).collect::<Result<Vec<_>, _>>().map_err(|term| {
+                    let found =
+                        format!("unable to parse {what} selector {text:?}: {term:?} is not understood");
+                    ApiError::bad_request(found)
+                })
+            }
         };
         let selector = Self { labels: read(labels, "label")?, fields: read(fields, "field")? };
-        if let Some((field, _)) = selector.fields.iter().find(|(field, _)| !FIELDS.contains(&field.as_str())) {
+        if let Some((field, _)) = selector.fields.iter().find(|(field, _)| !FIELDS.contains(&field.as_str()))
+        {
             let known = FIELDS.join(", ");
-            return Err(ApiError::bad_request(format!("field label not supported: {field}; use one of {known}")));
+            return Err(ApiError::bad_request(format!(
+                "field label not supported: {field}; use one of {known}"
+            )));
         }
         Ok(selector)
     }
--- a/crates/api/src/validate.rs
+++ b/crates/api/src/validate.rs
@@ -24,11 +24,17 @@
 }
 
 /// Checks an object that is to be created or changed; `old` is what stands.
-pub fn check(resource: &Resource, object: &Object, old: Option<&Object>, classes: &[String]) -> Result<(), ApiError> {
+pub fn check(
+    resource: &Resource,
+    object: &Object,
+    old: Option<&Object>,
+    classes: &[String],
+) -> Result<(), ApiError> {
     let mut causes = Vec::new();
     let name = meta::name(object);
     if !dns_name(name, resource.kind == "Namespace") {
-        let rule = "must be lower case letters, digits, '-' and '.', 253 characters at most (63 for a namespace)";
+        let rule =
+            "must be lower case letters, digits, '-' and '.', 253 characters at most (63 for a namespace)";
         causes.push(cause("FieldValueInvalid", "metadata.name", format!("{name:?} {rule}")));
     }
     for (field, most) in [("labels", 63), ("annotations", METADATA_MOST)] {
@@ -113,7 +119,11 @@
         let Some(text) = meta::annotation(owner, key) else { continue };
         if !text.parse::<f64>().is_ok_and(|seconds| seconds > 0.0 && seconds <= 1e9) {
             let field = format!("metadata.annotations[{key}]");
-            causes.push(cause("FieldValueInvalid", &field, format!("{text:?} must be seconds above 0, 1e9 at most")));
+            causes.push(cause(
+                "FieldValueInvalid",
+                &field,
+                format!("{text:?} must be seconds above 0, 1e9 at most"),
+            ));
         }
     }
 }
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -81,7 +81,9 @@
                 (_, _, Some(_)) => return fail(at("window"), "only a keyed class has a window"),
             }
             match (c.spread, c.spread_most) {
-                (Some(_), 0) => return fail(at("spread_most"), "0 would let nothing start: allowed is 1 to 4294967295"),
+                (Some(_), 0) => {
+                    return fail(at("spread_most"), "0 would let nothing start: allowed is 1 to 4294967295");
+                }
                 (None, most) if most > 0 => return fail(at("spread_most"), "has no meaning without spread"),
                 _ => {}
             }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,14 +19,19 @@
 /// Reads and checks a file.
 pub fn load(path: &Path) -> Result<Config, Problem> {
     let name = path.display().to_string();
-    let text = std::fs::read_to_string(path)
-        .map_err(|e| Problem { file: name.clone(), line: 0, key: String::new(), what: format!("can't be read: {e}") })?;
+    let text = std::fs::read_to_string(path).map_err(|e| Problem {
+        file: name.clone(),
+        line: 0,
+        key: String::new(),
+        what: format!("can't be read: {e}"),
+    })?;
     parse(&name, &text)
 }
 
 /// Checks a text; `file` is for messages.
 pub fn parse(file: &str, text: &str) -> Result<Config, Problem> {
-    let problem = |line: usize, key: &str, what: String| Problem { file: file.into(), line, key: key.into(), what };
+    let problem =
+        |line: usize, key: &str, what: String| Problem { file: file.into(), line, key: key.into(), what };
     let deserializer = hcl::de::Deserializer::from_str(text).map_err(|e| match &e {
         hcl::Error::Parse(p) => problem(p.location().line(), "", p.to_string()),
         other => problem(0, "", other.to_string()),
@@ -35,10 +40,10 @@
         let what = e.inner().to_string();
         let mut path: Vec<String> = e.path().iter().map(|s| s.to_string()).collect();
         // An unknown key is named in the message alone.
-        if let Some(key) = what.strip_prefix("unknown field `").and_then(|rest| rest.split('`').next()) {
-            if path.last().is_none_or(|last| last != key) {
-                path.push(key.to_owned());
-            }
+        if let Some(key) = what.strip_prefix("unknown field `").and_then(|rest| rest.split('`').next())
+            && path.last().is_none_or(|last| last != key)
+        {
+            path.push(key.to_owned());
         }
         problem(locate::line(text, &path), &path.join("."), what)
     })?;
--- a/crates/config/src/locate.rs
+++ b/crates/config/src/locate.rs
@@ -7,7 +7,9 @@
 pub(crate) fn line(text: &str, path: &[String]) -> usize {
     let Ok(body) = text.parse::<Body>() else { return 0 };
     let at = find(&body, path);
-    at.map_or(0, |at| text[..at.min(text.len())].lines().count().max(1) + usize::from(text[..at].ends_with('\n')))
+    at.map_or(0, |at| {
+        text[..at.min(text.len())].lines().count().max(1) + usize::from(text[..at].ends_with('\n'))
+    })
 }
 
 fn find(body: &Body, path: &[String]) -> Option<usize> {
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -18,7 +18,12 @@
         ("deadline    = 6 ", "deadline    = -1 ", "class.termin-web.deadline", "allowed is 0.7 to 86400"),
         ("spread_most = 3", "spread_least = 3", "class.slot-abgleich.spread_least", "unknown field"),
         ("admit_cores  = 2.5", "admit_cores  = \"much\"", "nodes.admit_cores", "invalid type"),
-        ("effect      = \"unsafe\"", "effect      = \"keyed\"", "class.slot-abgleich.effect", "needs a group"),
+        (
+            "effect      = \"unsafe\"",
+            "effect      = \"keyed\"",
+            "class.slot-abgleich.effect",
+            "needs a group",
+        ),
         ("share       = 1.0", "share       = 1.5", "tenant.default.share", "allowed is 0 to 1"),
         ("settle      = 3", "settle      = 1e9", "owner.settle", "allowed is 0 to 3600"),
     ] {
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,234 @@
+//! The owner's side of a task, without I/O: a Job wants so many Pods to come to a good end; a Pod that was refused,
+//! failed, evicted or lost is asked for again, and where a second run could do harm it is first settled whether the
+//! earlier one runs.
+//!
+//! A Job's work is cut into *slots*: one slot is one Pod's worth of work, and at most one Pod that may run stands
+//! for it at any time. All rules about repeats are rules about one slot, in `slot.rs`.
+
+mod job;
+mod pause;
+mod slot;
+mod view;
+
+pub use job::{JobStatus, Phase};
+pub use pause::Pauses;
+pub use slot::{Adopt, SlotId};
+pub use view::{JobView, PodEnd, PodPhase, PodView};
+
+use job::Job;
+use rand::SeedableRng;
+use std::collections::{BTreeMap, BTreeSet};
+use tidespur_link::Found;
+
+/// What the controller goes by.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Pauses before asking again.
+    pub pauses: Pauses,
+    /// A task that may run is looked for after this long.
+    pub settle: f64,
+    /// Classes of which a second run does harm, or is dropped in one place only.
+    pub guarded: BTreeSet<String>,
+    /// The class of Pods that name none.
+    pub default_class: String,
+}
+
+/// What the controller is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A Job stands, new or changed.
+    Job(JobView),
+    /// A Job is gone.
+    JobGone(String),
+    /// A Pod was made for a slot.
+    Created {
+        /// The slot.
+        slot: SlotId,
+        /// The Pod.
+        pod: PodView,
+    },
+    /// A Pod could not be made for a slot.
+    NotCreated(SlotId),
+    /// A Pod stands, new or changed.
+    Pod(PodView),
+    /// A Pod is gone.
+    PodGone(PodView),
+    /// What was found of a Pod that may run.
+    Located {
+        /// Its uid.
+        uid: String,
+        /// What was found.
+        found: Found,
+    },
+}
+
+/// What the controller wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Make a Pod; `Created` or `NotCreated` is due.
+    Create {
+        /// For this slot.
+        slot: SlotId,
+        /// Namespace of the Job.
+        namespace: String,
+        /// Name of the Job.
+        job: String,
+        /// An earlier Pod of the slot did not stay.
+        returned: bool,
+        /// Take over what runs already.
+        adopt: Option<Adopt>,
+    },
+    /// Delete a Pod.
+    DeletePod {
+        /// Namespace.
+        namespace: String,
+        /// Name.
+        name: String,
+        /// Uid.
+        uid: String,
+    },
+    /// Write a Job's status.
+    Status {
+        /// Uid of the Job.
+        uid: String,
+        /// Namespace.
+        namespace: String,
+        /// Name.
+        name: String,
+        /// The status.
+        status: JobStatus,
+    },
+    /// Delete a Job whose time after its end is over.
+    DeleteJob {
+        /// Namespace.
+        namespace: String,
+        /// Name.
+        name: String,
+        /// Uid.
+        uid: String,
+    },
+    /// Ask all planners where this Pod runs, if anywhere; `Located` is due.
+    Locate {
+        /// Its uid.
+        uid: String,
+        /// Namespace.
+        namespace: String,
+        /// Name at nodes.
+        name: String,
+    },
+    /// Whatever runs of this Pod is to be stopped.
+    Reap {
+        /// Its uid.
+        uid: String,
+    },
+}
+
+/// A Pod without a Job that may run though it was answered as failed: stopped after the settling time.
+#[derive(Debug)]
+struct Stray {
+    reap_at: f64,
+}
+
+/// The controller of all Jobs of one edge.
+#[derive(Debug)]
+pub struct Controller {
+    settings: Settings,
+    rng: rand_pcg::Pcg32,
+    jobs: BTreeMap<String, Job>,
+    /// Job of each Pod whose slot is open.
+    pods: BTreeMap<String, String>,
+    strays: BTreeMap<String, Stray>,
+}
+
+impl Controller {
+    /// A controller that knows no Job yet; `seed` is all the chance it has.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let rng = rand_pcg::Pcg32::seed_from_u64(seed);
+        Self { settings, rng, jobs: BTreeMap::new(), pods: BTreeMap::new(), strays: BTreeMap::new() }
+    }
+
+    /// Takes in `events`, all of time `now`, and appends what is to be done.
+    pub fn step(&mut self, now: f64, events: Vec<Event>, out: &mut Vec<Action>) {
+        for event in events {
+            self.observe(now, event, out);
+        }
+        for job in self.jobs.values_mut() {
+            job.act(now, &mut self.pods, out);
+        }
+        let due: Vec<String> = self
+            .strays
+            .iter()
+            .filter(|(_, stray)| stray.reap_at <= now)
+            .map(|(uid, _)| uid.clone())
+            .collect();
+        for uid in due {
+            self.strays.remove(&uid);
+            out.push(Action::Reap { uid });
+        }
+    }
+
+    /// When to step next though nothing happens.
+    pub fn next_wake(&self) -> Option<f64> {
+        let jobs = self.jobs.values().filter_map(Job::next_wake);
+        jobs.chain(self.strays.values().map(|stray| stray.reap_at)).min_by(f64::total_cmp)
+    }
+
+    /// How many Jobs stand.
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    fn observe(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Job(view) => match self.jobs.get_mut(&view.uid) {
+                Some(job) => job.changed(view),
+                None => drop(self.jobs.insert(view.uid.clone(), Job::new(view, now))),
+            },
+            Event::JobGone(uid) => {
+                if let Some(job) = self.jobs.remove(&uid) {
+                    job.gone(&mut self.pods, &mut |uid| {
+                        self.strays.insert(uid, Stray { reap_at: now + self.settings.settle });
+                    });
+                }
+            }
+            Event::Created { slot, pod } => match self.jobs.get_mut(&slot.job) {
+                Some(job) => {
+                    self.pods.insert(pod.uid.clone(), slot.job.clone());
+                    job.created(slot.number, &pod);
+                    job.pod(now, &pod, &self.settings, &mut self.rng, &mut self.pods, out);
+                }
+                None => {
+                    out.push(Action::DeletePod { namespace: pod.namespace, name: pod.name, uid: pod.uid })
+                }
+            },
+            Event::NotCreated(slot) => {
+                if let Some(job) = self.jobs.get_mut(&slot.job) {
+                    job.not_created(now, slot.number, &self.settings, &mut self.rng);
+                }
+            }
+            Event::Pod(pod) => match self.pods.get(&pod.uid).and_then(|job| self.jobs.get_mut(job)) {
+                Some(job) => job.pod(now, &pod, &self.settings, &mut self.rng, &mut self.pods, out),
+                None => self.foreign(now, &pod),
+            },
+            Event::PodGone(pod) => {
+                let job = self.pods.get(&pod.uid).and_then(|job| self.jobs.get_mut(job));
+                if !job.is_some_and(|job| job.pod_gone(now, &pod, &self.settings)) {
+                    self.pods.remove(&pod.uid);
+                }
+            }
+            Event::Located { uid, found } => {
+                if let Some(job) = self.pods.get(&uid).and_then(|job| self.jobs.get_mut(job)) {
+                    job.located(now, &uid, found, &self.settings, &mut self.rng, &mut self.pods, out);
+                }
+            }
+        }
+    }
+
+    /// A Pod without a Job here, or whose slot is over: nobody will ask for it again, so what may run of it after
+    /// an unclear answer has no owner and is stopped.
+    fn foreign(&mut self, now: f64, pod: &PodView) {
+        if pod.phase == PodPhase::Ended(PodEnd::Unknown) && !pod.settled {
+            self.strays.entry(pod.uid.clone()).or_insert(Stray { reap_at: now + self.settings.settle });
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/hooks.rs
@@ -0,0 +1,156 @@
+//! What the edge adds to the plain API.
+
+use crate::core::{Input, owner_uid};
+use async_channel::Sender;
+use hyper::{HeaderMap, Method};
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tidespur_api::resource::{EVENTS, JOBS, NAMESPACES, PODS};
+use tidespur_api::status::Cause;
+use tidespur_api::{ApiError, Object, Resource, meta, names};
+use tidespur_net::{Client, NetError, Recorder};
+use tidespur_rest::{DeleteOptions, Hooks, Seen, Verb};
+use tidespur_store::{Expect, Store};
+
+pub(crate) struct EdgeHooks {
+    pub(crate) classes: Vec<String>,
+    pub(crate) open: AtomicUsize,
+    pub(crate) open_most: usize,
+    pub(crate) inputs: Sender<Input>,
+    pub(crate) register: Client,
+    pub(crate) recorder: Recorder,
+}
+
+impl Hooks for EdgeHooks {
+    fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
+    fn admit(&self, store: &Store, resource: &Resource, object: &mut Object) -> Result<(), ApiError> {
+        if resource.namespaced && store.get(NAMESPACES, "", meta::namespace(object)).is_none() {
+            return Err(ApiError::not_found("namespaces", meta::namespace(object)));
+        }
+        match resource.kind {
+            "Pod" => {
+                if !meta::text(object, &["spec", "nodeName"]).is_empty() {
+                    let message = "nodes are chosen by the scheduler; leave it out".to_owned();
+                    let cause =
+                        Cause { reason: "FieldValueForbidden", field: "spec.nodeName".into(), message };
+                    return Err(ApiError::invalid("Pod", meta::name(object), vec![cause]));
+                }
+                if self.open.load(Ordering::Relaxed) >= self.open_most {
+                    let text =
+                        format!("{} tasks wait for an answer, which is the most; try again", self.open_most);
+                    return Err(ApiError::too_many(text, 1));
+                }
+                // These speak for the Job controller alone.
+                if let Some(annotations) = object["metadata"]["annotations"].as_object_mut() {
+                    annotations.remove(names::ADOPTS);
+                }
+                object["status"] = json!({"phase": "Pending"});
+            }
+            "Job" => {
+                let spec = meta::map_mut(object, "spec");
+                for (key, value) in [("backoffLimit", 6), ("parallelism", 1)] {
+                    let alone = key == "parallelism" && spec.get("completions").is_none();
+                    if spec.get(key).is_none() && alone {
+                        spec.insert("completions".into(), 1.into());
+                    }
+                    spec.entry(key).or_insert_with(|| value.into());
+                }
+                spec.entry("suspend").or_insert_with(|| false.into());
+                spec.entry("completionMode").or_insert_with(|| "NonIndexed".into());
+                object["status"] = json!({});
+            }
+            "Namespace" => object["status"] = json!({"phase": "Active"}),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Nodes belong to the register: a change of one is asked for there, and comes back by its watch.
+    async fn divert(
+        &self,
+        verb: Verb,
+        resource: &'static Resource,
+        object: &Object,
+        _: &HeaderMap,
+    ) -> Option<Result<Object, ApiError>> {
+        if resource.kind != "Node" {
+            return None;
+        }
+        if verb != Verb::Update {
+            return Some(Err(ApiError::method()));
+        }
+        let path = resource.path("", meta::name(object));
+        let patch = json!({"spec": {"unschedulable": meta::at(object, &["spec", "unschedulable"])}});
+        let body = patch.to_string().into_bytes().into();
+        let sent = self.register.send(Method::PATCH, &path, "application/merge-patch+json", body, 2.0).await;
+        Some(match sent {
+            Ok(reply) if reply.status.is_success() => Ok(object.clone()),
+            Ok(reply) => {
+                let status = reply.json();
+                let message = format!("the register says: {}", meta::text(&status, &["message"]));
+                Err(ApiError::new(reply.status.as_u16(), "Conflict", message))
+            }
+            Err(NetError::Timeout) => Err(ApiError::new(
+                504,
+                "Timeout",
+                "the register does not answer; look whether it took the change",
+            )),
+            Err(problem) => {
+                Err(ApiError::unavailable(format!("the register can't be reached: {problem}"), 1))
+            }
+        })
+    }
+
+    fn delete(
+        &self,
+        store: &mut Store,
+        resource: &Resource,
+        object: &Object,
+        how: &DeleteOptions,
+    ) -> Result<Object, ApiError> {
+        let expect = Expect { uid: how.uid.clone(), version: how.version };
+        let (space, name) = (meta::namespace(object), meta::name(object));
+        match resource.kind {
+            "Job" if how.propagation.as_deref() == Some("Orphan") => {
+                let gone = store.delete(resource, space, name, &expect)?;
+                let uid = meta::uid(&gone);
+                let owned: Vec<Arc<Object>> =
+                    store.all(PODS, space).filter(|pod| owner_uid(pod) == uid).cloned().collect();
+                for pod in owned {
+                    let mut pod = (*pod).clone();
+                    meta::set(&mut pod, "ownerReferences", json!([]));
+                    drop(store.update(PODS, pod, &Expect::default()));
+                }
+                Ok((*gone).clone())
+            }
+            "Namespace" => {
+                let gone = store.delete(resource, "", name, &expect)?;
+                for inner in [JOBS, PODS, EVENTS] {
+                    let all: Vec<Arc<Object>> = store.all(inner, name).cloned().collect();
+                    for object in all {
+                        drop(store.delete(inner, name, meta::name(&object), &Expect::default()));
+                    }
+                }
+                Ok((*gone).clone())
+            }
+            // A Job's Pods follow it as soon as the core hears of its end.
+            _ => store.delete(resource, space, name, &expect).map(|object| (*object).clone()),
+        }
+    }
+
+    fn written(&self) {
+        // A full queue is being worked through, and the store is read after each step.
+        let _ = self.inputs.try_send(Input::Kick);
+    }
+
+    fn seen(&self, seen: &Seen<'_>) {
+        self.recorder.note("api", || {
+            json!({"peer": seen.peer.to_string(), "method": seen.method, "path": seen.path, "status": seen.status,
+                "uid": meta::uid(seen.object)})
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,13 @@
+//! The program that meets clients.
+//!
+//! [`desk::Desk`] leads each open task to its one answer and shares the tasks out to planners; [`core::Core`] puts
+//! desk, Job controller and store together; both are state machines without I/O. [`run`] is the loop around them.
+
+pub mod core;
+pub mod desk;
+mod garbage;
+mod hooks;
+mod pods;
+pub mod run;
+
+pub use run::{Options, run};
--- /dev/null
+++ b/crates/edge/src/main.rs
@@ -0,0 +1,38 @@
+//! `tidespur-edge`: the program that meets clients.
+
+use clap::Parser;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(
+    name = "tidespur-edge",
+    version,
+    about = "Meets clients: REST API with watches, Jobs, and the link to planners"
+)]
+struct Arguments {
+    #[command(flatten)]
+    options: tidespur_edge::Options,
+    /// Lines of the log as JSON
+    #[arg(long)]
+    log_json: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    tidespur_net::logs(arguments.log_json);
+    let config = match &arguments.options.config {
+        Some(path) => tidespur_config::load(path),
+        None => tidespur_config::parse("built-in", tidespur_config::DEFAULT),
+    };
+    let ready = |api: &str, link: &str| println!("ready {api} {link}");
+    let ran = config
+        .map_err(|e| e.to_string())
+        .and_then(|config| smol::block_on(tidespur_edge::run(config, arguments.options, ready)));
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("tidespur-edge: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/run.rs
@@ -0,0 +1,272 @@
+//! The loop around the edge: sockets and timers in, sockets and timers out. It decides nothing.
+
+use crate::core::{Core, Input};
+use crate::desk::PlannerId;
+use crate::hooks::EdgeHooks;
+use async_channel::{Receiver, Sender};
+use hyper::Method;
+use serde_json::{Value, json};
+use smol::net::{TcpListener, TcpStream};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use tidespur_api::meta;
+use tidespur_api::resource::NAMESPACES;
+use tidespur_config::Config;
+use tidespur_link::{Liveness, ToEdge, ToPlanner};
+use tidespur_net::{Client, Recorder, clock, frames, server};
+use tidespur_rest::{Api, Limits, Served};
+use tidespur_store::Store;
+
+/// What the program is started with.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Options {
+    /// Settings (HCL); without it the built-in ones hold
+    #[arg(long)]
+    pub config: Option<PathBuf>,
+    /// Address of the API
+    #[arg(long, default_value = "127.0.0.1:8001")]
+    pub api: String,
+    /// Address of the link that planners connect to
+    #[arg(long, default_value = "127.0.0.1:8002")]
+    pub link: String,
+    /// Address of the register of nodes
+    #[arg(long)]
+    pub register: String,
+    /// Name of this edge in logs
+    #[arg(long, default_value = "edge-0")]
+    pub name: String,
+    /// What its chance is drawn from
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Record what crosses its sockets in this file
+    #[arg(long)]
+    pub record: Option<PathBuf>,
+}
+
+/// Inputs that may wait for the core.
+const INPUTS_MOST: usize = 16_384;
+/// Inputs that are taken into one step.
+const STEP_MOST: usize = 512;
+/// Silence after which the register's watch counts as lost.
+const SILENCE: f64 = 1.6;
+
+struct Loop {
+    config: Config,
+    options: Options,
+    inputs: Sender<Input>,
+    api: Arc<Api<EdgeHooks>>,
+    planners: Mutex<BTreeMap<PlannerId, Sender<ToPlanner>>>,
+    recorder: Recorder,
+}
+
+/// Runs the edge until the process ends. `ready` is called with the addresses of API and link.
+pub async fn run(config: Config, options: Options, ready: impl FnOnce(&str, &str)) -> Result<(), String> {
+    let bind = async |address: &str| {
+        TcpListener::bind(address).await.map_err(|e| format!("{address}: can't listen: {e}"))
+    };
+    let (api_listener, link_listener) = (bind(&options.api).await?, bind(&options.link).await?);
+    let address = |l: &TcpListener| l.local_addr().map(|a| a.to_string()).map_err(|e| e.to_string());
+    let (api_address, link_address) = (address(&api_listener)?, address(&link_listener)?);
+    let recorder = match &options.record {
+        Some(path) => Recorder::to(path, &options.name).map_err(|e| format!("{}: {e}", path.display()))?,
+        None => Recorder::default(),
+    };
+    let limits = tidespur_store::Limits {
+        history: config.edge.history as usize,
+        objects: config.edge.objects_most as usize,
+        ..tidespur_store::Limits::default()
+    };
+    // Versions begin at the clock, above all that an earlier run may have handed out: a watch that comes back with
+    // an old one is told 410 and lists anew.
+    let mut store = Store::new(limits, options.seed ^ clock::now().to_bits(), (clock::now() * 1000.0) as u64);
+    let spaces = ["default".to_owned()].into_iter().chain(config.tenant.keys().cloned());
+    for space in spaces {
+        let object = json!({"kind": "Namespace", "apiVersion": "v1", "metadata": {"name": space},
+            "spec": {}, "status": {"phase": "Active"}});
+        // The second "default" stands already.
+        drop(store.create(NAMESPACES, object, clock::now()));
+    }
+    let core = Core::new(config.clone(), &store, options.seed);
+    let (send, receive) = async_channel::bounded(INPUTS_MOST);
+    let hooks = EdgeHooks {
+        classes: config.class.keys().cloned().collect(),
+        open: AtomicUsize::new(0),
+        open_most: config.edge.open_most as usize,
+        inputs: send.clone(),
+        register: Client::new(&options.register, 4, vec![]),
+        recorder: recorder.clone(),
+    };
+    let limits = Limits {
+        body: config.edge.body_most as usize,
+        body_timeout: config.edge.body_timeout,
+        bookmark_every: config.edge.bookmark_every,
+        ..Limits::default()
+    };
+    let api = Arc::new(Api::new(store, limits, hooks));
+    let served = server::ServerLimits {
+        connections: config.edge.connections_most as usize,
+        head_timeout: config.edge.head_timeout,
+    };
+    let this = Arc::new(Loop {
+        config,
+        options,
+        inputs: send,
+        api: api.clone(),
+        planners: Mutex::default(),
+        recorder,
+    });
+    smol::spawn(this.clone().accept(link_listener)).detach();
+    smol::spawn(this.clone().follow_register()).detach();
+    smol::spawn(async move { server::serve(api_listener, served, Arc::new(Served(api))).await }).detach();
+    tracing::info!(edge = this.options.name, api = api_address, link = link_address, "started");
+    ready(&api_address, &link_address);
+    this.turn(core, receive).await;
+    Ok(())
+}
+
+impl Loop {
+    async fn turn(&self, mut core: Core, inputs: Receiver<Input>) {
+        loop {
+            let wake = core.next_wake().unwrap_or(f64::INFINITY);
+            let mut batch = match clock::within(wake - clock::now(), inputs.recv()).await {
+                Some(Ok(input)) => vec![input],
+                Some(Err(_)) => return,
+                None => vec![],
+            };
+            while batch.len() < STEP_MOST {
+                let Ok(input) = inputs.try_recv() else { break };
+                batch.push(input);
+            }
+            let mut out = Vec::new();
+            let mut store = self.api.store();
+            let version = store.version();
+            core.step(clock::now(), batch, &mut store, &mut out);
+            let changed = store.version() != version;
+            drop(store);
+            self.api.hooks.open.store(core.open(), Ordering::Relaxed);
+            let Ok(planners) = self.planners.lock() else { return };
+            for (planner, message) in out {
+                // A full queue means that the planner reads nothing: its link ends, and its tasks with it.
+                if let Some(send) = planners.get(&planner)
+                    && send.try_send(message).is_err()
+                {
+                    send.close();
+                }
+            }
+            drop(planners);
+            if changed {
+                self.api.ring();
+            }
+        }
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut next: PlannerId = 0;
+        loop {
+            match listener.accept().await {
+                Ok((socket, peer)) => {
+                    next += 1;
+                    let (this, id) = (self.clone(), next);
+                    smol::spawn(async move {
+                        let ended = this.serve_planner(id, socket).await;
+                        tracing::info!(edge = this.options.name, %peer, ?ended, "a planner's link ended");
+                        let known = this.planners.lock().map(|mut planners| planners.remove(&id)).is_ok();
+                        if known {
+                            let _ = this.inputs.send(Input::PlannerLost(id)).await;
+                        }
+                    })
+                    .detach();
+                }
+                Err(problem) => {
+                    tracing::warn!(%problem, "a planner can't be accepted");
+                    clock::sleep(0.05).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_planner(&self, id: PlannerId, socket: TcpStream) -> Result<(), String> {
+        socket.set_nodelay(true).map_err(|e| e.to_string())?;
+        let patience = self.config.edge.planner_patience;
+        let mut reader = frames::FrameReader::new(socket.clone());
+        let first = clock::within(patience, reader.next::<ToEdge>()).await.ok_or("no Hello in time")??;
+        let Some(ToEdge::Hello { planner, ordinal }) = first else {
+            return Err(format!("its first message is no Hello: {first:?}"));
+        };
+        tracing::info!(edge = self.options.name, planner, ordinal, "a planner is here");
+        let (send, queue) = async_channel::bounded(frames::QUEUE_MOST);
+        send.try_send(ToPlanner::Welcome { edge: self.options.name.clone() }).map_err(|e| e.to_string())?;
+        self.planners.lock().map_err(|e| e.to_string())?.insert(id, send.clone());
+        self.inputs.send(Input::PlannerUp(id)).await.map_err(|e| e.to_string())?;
+        let life = Mutex::new(Liveness::new(patience / 4.0, patience, clock::now()));
+        let reading = async {
+            while let Some(message) = reader.next::<ToEdge>().await? {
+                if let Ok(mut life) = life.lock() {
+                    life.heard(clock::now());
+                }
+                if message != ToEdge::Ping {
+                    self.recorder
+                        .note("planner", || json!({"planner": planner, "message": format!("{message:?}")}));
+                    self.inputs.send(Input::Said(id, message)).await.map_err(|e| e.to_string())?;
+                }
+            }
+            Ok(())
+        };
+        let beating = async {
+            loop {
+                clock::sleep(patience / 4.0).await;
+                if life.lock().is_ok_and(|life| life.lost(clock::now())) {
+                    return Err("silence".to_owned());
+                }
+                send.try_send(ToPlanner::Ping).map_err(|e| e.to_string())?;
+            }
+        };
+        let writing = frames::write_all(socket.clone(), queue);
+        let ended = futures_lite::future::or(reading, futures_lite::future::or(beating, writing)).await;
+        let _ = socket.shutdown(std::net::Shutdown::Both);
+        ended
+    }
+
+    async fn follow_register(self: Arc<Self>) {
+        loop {
+            let why = self.watch_register().await;
+            tracing::warn!(edge = self.options.name, why, "the watch on the register ended");
+            clock::sleep(0.5).await;
+        }
+    }
+
+    async fn watch_register(&self) -> String {
+        let client = Client::new(&self.options.register, 2, vec![]);
+        let list = match client.send(Method::GET, "/api/v1/nodes", "", bytes::Bytes::new(), 2.0).await {
+            Ok(reply) if reply.status.is_success() => reply.json(),
+            Ok(reply) => return format!("the list: status {}", reply.status),
+            Err(problem) => return format!("the list: {problem}"),
+        };
+        let items = list["items"].as_array().cloned().unwrap_or_default();
+        let _ = self.inputs.send(Input::Nodes(items)).await;
+        let version = meta::text(&list, &["metadata", "resourceVersion"]);
+        let path = format!("/api/v1/nodes?watch=true&allowWatchBookmarks=true&resourceVersion={version}");
+        let mut lines = match client.lines(&path, 2.0).await {
+            Ok(lines) => lines,
+            Err(problem) => return format!("the watch: {problem}"),
+        };
+        loop {
+            let line = match clock::within(SILENCE, lines.next()).await {
+                None => return "silence".into(),
+                Some(Ok(Some(line))) => line,
+                Some(Ok(None)) => return "it ended".into(),
+                Some(Err(problem)) => return problem.to_string(),
+            };
+            let Ok(mut event) = serde_json::from_slice::<Value>(&line) else { return "no JSON".into() };
+            let object = event["object"].take();
+            match event["type"].as_str() {
+                Some("BOOKMARK") => {}
+                Some("ADDED" | "MODIFIED") => drop(self.inputs.send(Input::Node(object, false)).await),
+                Some("DELETED") => drop(self.inputs.send(Input::Node(object, true)).await),
+                _ => return "an error of the register".into(),
+            }
+        }
+    }
+}
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -21,7 +21,10 @@
 impl std::fmt::Display for FrameError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Version(v) => write!(f, "the peer speaks version {v} of the link, this program {VERSION}: upgrade the older one"),
+            Self::Version(v) => write!(
+                f,
+                "the peer speaks version {v} of the link, this program {VERSION}: upgrade the older one"
+            ),
             Self::TooLong(n) => write!(f, "a frame of {n} bytes, {FRAME_MOST} are allowed"),
             Self::Garbled(why) => write!(f, "a frame that holds no message: {why}"),
         }
@@ -59,7 +62,7 @@
     }
 
     /// The next whole message, if there is one.
-    pub fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+    pub fn message<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
         let rest = &self.bytes[self.read..];
         let Some(head) = rest.first_chunk::<HEAD>() else { return Ok(None) };
         let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
--- a/crates/link/tests/frames.rs
+++ b/crates/link/tests/frames.rs
@@ -18,7 +18,7 @@
     frame[5] = 9;
     let mut decoder = Decoder::default();
     decoder.feed(&frame);
-    let error = decoder.next::<ToPlanner>().unwrap_err();
+    let error = decoder.message::<ToPlanner>().unwrap_err();
     assert_eq!(error, FrameError::Version(9));
     assert!(error.to_string().contains("upgrade"));
 }
@@ -27,7 +27,7 @@
 fn a_frame_too_long_is_refused_by_its_head() {
     let mut decoder = Decoder::default();
     decoder.feed(&[0xff, 0xff, 0xff, 0xff, 0, 1]);
-    assert!(matches!(decoder.next::<ToPlanner>(), Err(FrameError::TooLong(_))));
+    assert!(matches!(decoder.message::<ToPlanner>(), Err(FrameError::TooLong(_))));
 }
 
 #[test]
@@ -51,7 +51,7 @@
         let (mut decoder, mut got) = (Decoder::default(), vec![]);
         for part in bytes.chunks(cut) {
             decoder.feed(part);
-            while let Some(message) = decoder.next::<ToPlanner>().unwrap() {
+            while let Some(message) = decoder.message::<ToPlanner>().unwrap() {
                 got.push(message);
             }
         }
@@ -62,6 +62,6 @@
     fn any_bytes_are_an_error_or_wait_for_more(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let mut decoder = Decoder::default();
         decoder.feed(&bytes);
-        while let Ok(Some(_)) = decoder.next::<ToPlanner>() {}
+        while let Ok(Some(_)) = decoder.message::<ToPlanner>() {}
     }
 }
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -26,7 +26,8 @@
 impl<S: futures_lite::Stream> futures_lite::Stream for SyncStream<S> {
     type Item = S::Item;
     fn poll_next(
-        mut self: std::pin::Pin<&mut Self>, cx: &mut std::task::Context<'_>,
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<S::Item>> {
         self.0.as_mut().poll_next(cx)
     }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -16,6 +16,8 @@
 pub enum NetError {
     /// No connection; the request was never sent.
     Connect(String),
+    /// The peer's machine says that nobody listens there; the request was never sent.
+    Refused,
     /// No answer in time; the peer may have acted on it.
     Timeout,
     /// The connection broke before the answer was whole; the peer may have acted on it.
@@ -28,6 +30,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Connect(why) => write!(f, "no connection: {why}"),
+            Self::Refused => f.write_str("no connection: refused"),
             Self::Timeout => f.write_str("no answer in time"),
             Self::Broken(why) => write!(f, "the connection broke: {why}"),
             Self::Request(why) => write!(f, "the request can't be sent: {why}"),
@@ -92,6 +95,14 @@
         }
     }
 
+    /// The same client with one more header.
+    #[must_use]
+    pub fn with(&self, name: &'static str, value: String) -> Self {
+        let mut other = self.clone();
+        other.headers.push((name, value));
+        other
+    }
+
     /// Where it goes.
     pub fn address(&self) -> &str {
         &self.address
@@ -100,7 +111,10 @@
     async fn connect(&self) -> Result<Connection, NetError> {
         let lost = |e: String| NetError::Connect(e);
         let dial = async {
-            let socket = TcpStream::connect(&self.address).await.map_err(|e| lost(e.to_string()))?;
+            let socket = TcpStream::connect(&self.address).await.map_err(|e| match e.kind() {
+                std::io::ErrorKind::ConnectionRefused => NetError::Refused,
+                _ => lost(e.to_string()),
+            })?;
             socket.set_nodelay(true).map_err(|e| lost(e.to_string()))?;
             let (send, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(socket))
                 .await
@@ -117,7 +131,11 @@
     }
 
     fn request(
-        &self, method: &Method, path: &str, media: &str, body: &Bytes,
+        &self,
+        method: &Method,
+        path: &str,
+        media: &str,
+        body: &Bytes,
     ) -> Result<Request<Full<Bytes>>, NetError> {
         let mut request = Request::builder().method(method).uri(path).header("host", &self.address);
         for (name, value) in &self.headers {
@@ -132,7 +150,11 @@
     /// Sends a request on a kept or new connection. One that was closed meanwhile, before anything of the request
     /// went out, is replaced; one that breaks later is not, as the peer may have acted.
     async fn exchange(
-        &self, method: &Method, path: &str, media: &str, body: &Bytes,
+        &self,
+        method: &Method,
+        path: &str,
+        media: &str,
+        body: &Bytes,
     ) -> Result<(hyper::Response<hyper::body::Incoming>, Connection), NetError> {
         loop {
             let kept = self.idle.lock().ok().and_then(|mut idle| idle.pop());
@@ -164,7 +186,12 @@
 
     /// One request and its whole answer, within so many seconds from now, waiting for a connection included.
     pub async fn send(
-        &self, method: Method, path: &str, media: &str, body: Bytes, seconds: f64,
+        &self,
+        method: Method,
+        path: &str,
+        media: &str,
+        body: Bytes,
+        seconds: f64,
     ) -> Result<Reply, NetError> {
         let sent = async {
             let _place = self.places.acquire().await;
--- a/crates/net/src/frames.rs
+++ b/crates/net/src/frames.rs
@@ -21,7 +21,7 @@
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, String> {
         let mut buffer = [0; 16 * 1024];
         loop {
-            if let Some(message) = self.decoder.next().map_err(|e: FrameError| e.to_string())? {
+            if let Some(message) = self.decoder.message().map_err(|e: FrameError| e.to_string())? {
                 return Ok(Some(message));
             }
             match self.socket.read(&mut buffer).await {
@@ -37,7 +37,10 @@
 pub const QUEUE_MOST: usize = 16_384;
 
 /// Writes what comes from the channel until either ends; all that waits goes out in one write.
-pub async fn write_all<T: Serialize>(mut socket: TcpStream, messages: async_channel::Receiver<T>) -> Result<(), String> {
+pub async fn write_all<T: Serialize>(
+    mut socket: TcpStream,
+    messages: async_channel::Receiver<T>,
+) -> Result<(), String> {
     while let Ok(message) = messages.recv().await {
         let mut bytes = encode(&message).map_err(|e| e.to_string())?;
         while let Ok(message) = messages.try_recv() {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -5,7 +5,6 @@
 use hyper::{Request, Response};
 use smol::net::{SocketAddr, TcpListener};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,10 +17,18 @@
     pub head_timeout: f64,
 }
 
+/// Marks a response that is not sent: its connection is cut instead.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut;
+
 /// What answers requests.
 pub trait Handler: Send + Sync + 'static {
     /// One answer.
-    fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> impl Future<Output = Response<Body>> + Send;
+    fn answer(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = Response<Body>> + Send;
 }
 
 /// Headers in one request.
@@ -51,7 +58,15 @@
         let connection = async move {
             let service = hyper::service::service_fn(|request| {
                 let handler = handler.clone();
-                async move { Ok::<_, Infallible>(handler.answer(request, peer).await) }
+                async move {
+                    let response = handler.answer(request, peer).await;
+                    let cut = response.extensions().get::<Cut>().is_some();
+                    if cut {
+                        Err(std::io::Error::from(std::io::ErrorKind::ConnectionReset))
+                    } else {
+                        Ok(response)
+                    }
+                }
             });
             let served = hyper::server::conn::http1::Builder::new()
                 .timer(SmolTimer::new())
--- /dev/null
+++ b/crates/planner/src/words.rs
@@ -0,0 +1,150 @@
+//! Published objects and answers in the policy's words. The one place for this direction.
+
+use std::hash::Hasher;
+use tidespur_api::{Object, meta, names, quantity};
+use tidespur_config::Config;
+use tidespur_policy::interface::{Ending, Entry, MachineId, Report, ServiceId, Standing, Why};
+
+fn hash(text: &str) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
+
+/// A node's number, the same at every planner.
+pub fn machine(node: &str) -> MachineId {
+    MachineId(hash(node))
+}
+
+/// A service's number, the same at every planner.
+pub fn service(name: &str) -> ServiceId {
+    ServiceId(hash(name))
+}
+
+/// A zone's or rack's number, the same at every planner.
+pub fn place(name: &str) -> usize {
+    hash(name) as usize
+}
+
+/// What a Node in the register's list says.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Its name.
+    pub name: String,
+    /// Where it takes Pods.
+    pub address: String,
+    /// Its zone, for people.
+    pub zone: String,
+    /// The line of the list.
+    pub entry: Entry,
+}
+
+/// Reads a Node; `None` where its kind is not in the settings or it says nowhere to send to.
+pub fn node(object: &Object, config: &Config) -> Option<Listed> {
+    let name = meta::name(object).to_owned();
+    let kind = config.kind.get_index_of(meta::label(object, names::KIND)?)?;
+    let number = |key| meta::annotation(object, key).and_then(|text| text.parse::<f64>().ok());
+    let zone = meta::label(object, names::ZONE).unwrap_or("");
+    // Two racks of one name in two zones are two racks.
+    let rack = format!("{zone}/{}", meta::label(object, names::RACK).unwrap_or(""));
+    let allocatable = |key| quantity::parse(meta::text(object, &["status", "allocatable", key])).ok();
+    let unready = meta::at(object, &["status", "conditions"])
+        .as_array()
+        .is_some_and(|list| list.iter().any(|c| c["type"] == "Ready" && c["status"] != "True"));
+    let standing = match meta::at(object, &["spec", "unschedulable"]).as_bool() {
+        _ if unready => Standing::Gone,
+        Some(true) => Standing::Draining,
+        _ => Standing::Ready,
+    };
+    let memory = allocatable("memory").map(|bytes| bytes / names::MEMORY_UNIT);
+    let entry = Entry {
+        machine: machine(&name),
+        kind,
+        cell: place(&rack),
+        zone: place(zone),
+        standing,
+        up_since: number(names::UP_SINCE),
+        free_cores: number(names::FREE_CORES).or(allocatable("cpu")).unwrap_or(0.0),
+        free_memory: number(names::FREE_MEMORY).or(memory).unwrap_or(0.0),
+    };
+    let address = meta::annotation(object, names::ADDRESS)?.to_owned();
+    Some(Listed { name, address, zone: zone.to_owned(), entry })
+}
+
+/// Reads the load header.
+pub fn report(header: &str) -> Option<Report> {
+    let mut report = Report::default();
+    for pair in header.split(';') {
+        let (key, value) = pair.split_once('=')?;
+        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite())?;
+        match key.trim() {
+            "cores" => report.free_cores = Some(value),
+            "memory" => report.free_memory = Some(value),
+            "queue" => report.waiting = Some(value),
+            "util" => report.busy = Some(value),
+            // A newer node may tell more.
+            _ => {}
+        }
+    }
+    Some(report)
+}
+
+/// What a node's answer to an offer says: `None` where it was accepted.
+pub fn answer(status: u16, body: &Object) -> Option<Ending> {
+    let cause = meta::at(body, &["details", "causes"]).get(0).map_or("", |c| meta::text(c, &["reason"]));
+    Some(match (status, cause) {
+        (200..=299, _) => return None,
+        (429, _) => Ending::Full(Why::Queue),
+        (_, "OutOfcpu") => Ending::Full(Why::Cores),
+        (_, "OutOfmemory") => Ending::Full(Why::Memory),
+        (400..=499, _) => Ending::Full(Why::NotHere),
+        _ => Ending::Failed,
+    })
+}
+
+/// What a node's words for why it turned an offer away are, for people.
+pub fn refusal(status: u16, body: &Object) -> String {
+    let message = meta::text(body, &["message"]);
+    if message.is_empty() { format!("status {status}") } else { message.chars().take(200).collect() }
+}
+
+/// How a Pod at a node stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AtNode {
+    /// Accepted.
+    Waits,
+    /// It runs.
+    Runs,
+    /// It has ended.
+    Over(tidespur_link::End),
+}
+
+/// Reads the state of a Pod at a node.
+pub fn at_node(pod: &Object) -> AtNode {
+    use tidespur_link::End;
+    match (meta::text(pod, &["status", "phase"]), meta::text(pod, &["status", "reason"])) {
+        ("Running", _) => AtNode::Runs,
+        ("Succeeded", _) => AtNode::Over(End::Succeeded),
+        ("Failed", "Evicted") => AtNode::Over(End::Evicted),
+        ("Failed", "Preempting") => AtNode::Over(End::PushedOut),
+        ("Failed", "Terminated" | "NodeShutdown") => AtNode::Over(End::SentAway),
+        ("Failed", "Deleted") => AtNode::Over(End::Stopped),
+        ("Failed", _) => AtNode::Over(End::Failed),
+        _ => AtNode::Waits,
+    }
+}
+
+/// An end in the policy's words.
+pub fn ending(end: tidespur_link::End) -> Ending {
+    use tidespur_link::End;
+    match end {
+        End::Succeeded => Ending::Finished,
+        // The program ran to its own end; that says nothing about the machine.
+        End::Failed => Ending::Finished,
+        End::Evicted => Ending::Broken(Why::Evicted),
+        End::PushedOut => Ending::Broken(Why::PushedOut),
+        End::SentAway => Ending::Broken(Why::SentAway),
+        End::Lost => Ending::Broken(Why::Unknown),
+        End::Stopped => Ending::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/rest/src/lib.rs
@@ -0,0 +1,173 @@
+//! The published REST API over a store. The edge serves all of it; the stand-ins of register and node serve their
+//! part by the same code, so that a client finds the same API everywhere.
+
+mod handle;
+mod options;
+mod route;
+mod verbs;
+mod watch;
+
+pub use handle::Served;
+pub use options::Options;
+pub use route::{Route, Target};
+
+use event_listener::Event;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use tidespur_api::{ApiError, Object, Resource};
+use tidespur_store::Store;
+
+/// Bounds of the API.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Bytes of one body.
+    pub body: usize,
+    /// A body must be there within this.
+    pub body_timeout: f64,
+    /// A bookmark goes to watches that want them this often.
+    pub bookmark_every: f64,
+    /// A watcher that takes nothing for this long is cut.
+    pub stall: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { body: 3 << 20, body_timeout: 30.0, bookmark_every: 15.0, stall: 30.0 }
+    }
+}
+
+/// How an object is to be deleted.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DeleteOptions {
+    /// `Background`, `Foreground` or `Orphan`.
+    pub propagation: Option<String>,
+    /// Demanded uid.
+    pub uid: Option<String>,
+    /// Demanded version.
+    pub version: Option<u64>,
+}
+
+/// What a program adds to the plain API: what is served, what a write must pass, what follows from it.
+pub trait Hooks: Send + Sync + Sized + 'static {
+    /// Whether a resource is served here.
+    fn serves(&self, _resource: &Resource) -> bool {
+        true
+    }
+    /// Known classes, for the check of Pods.
+    fn classes(&self) -> &[String] {
+        &[]
+    }
+    /// May change or refuse an object before it is checked and stored.
+    fn admit(&self, _store: &Store, _resource: &Resource, _object: &mut Object) -> Result<(), ApiError> {
+        Ok(())
+    }
+    /// Takes a write over in place of the store, such as one for the owner of that object elsewhere.
+    fn divert(
+        &self,
+        _verb: Verb,
+        _resource: &'static Resource,
+        _object: &Object,
+        _headers: &hyper::HeaderMap,
+    ) -> impl Future<Output = Option<Result<Object, ApiError>>> + Send {
+        async { None }
+    }
+    /// Called under the store's lock once an object is to be removed; removes it and what belongs to it.
+    fn delete(
+        &self,
+        store: &mut Store,
+        resource: &Resource,
+        object: &Object,
+        how: &DeleteOptions,
+    ) -> Result<Object, ApiError> {
+        let expect = tidespur_store::Expect { uid: how.uid.clone(), version: how.version };
+        let (space, name) = (tidespur_api::meta::namespace(object), tidespur_api::meta::name(object));
+        store.delete(resource, space, name, &expect).map(|object| (*object).clone())
+    }
+    /// Called after any write, without the lock.
+    fn written(&self) {}
+    /// Headers for every answer.
+    fn headers(&self) -> Vec<(&'static str, String)> {
+        vec![]
+    }
+    /// Answers what the plain API does not know.
+    fn other(&self, _method: &str, _path: &str, _body: &[u8]) -> Option<Result<Object, ApiError>> {
+        None
+    }
+    /// Waits as long as nothing may be answered to this caller, if it is cut off.
+    fn gate(&self, _headers: &hyper::HeaderMap) -> impl Future<Output = ()> + Send {
+        async {}
+    }
+    /// Told of each request and answer, for recordings.
+    fn seen(&self, _request: &Seen<'_>) {}
+}
+
+/// An answer of this code is never sent: the connection is cut instead. For stand-ins that lose answers.
+pub const CUT: u16 = 0;
+
+/// A write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verb {
+    /// POST.
+    Create,
+    /// PUT or PATCH.
+    Update,
+    /// DELETE.
+    Delete,
+}
+
+/// One request and its answer.
+#[derive(Debug)]
+pub struct Seen<'a> {
+    /// Who asked.
+    pub peer: std::net::SocketAddr,
+    /// Method.
+    pub method: &'a str,
+    /// Path with query.
+    pub path: &'a str,
+    /// The object of a write.
+    pub object: &'a Object,
+    /// Status of the answer.
+    pub status: u16,
+}
+
+/// A store with its API.
+#[derive(Debug)]
+pub struct Api<H> {
+    store: Mutex<Store>,
+    bell: Event,
+    watch_generation: AtomicU64,
+    /// Bounds.
+    pub limits: Limits,
+    /// What the program adds.
+    pub hooks: H,
+}
+
+impl<H: Hooks> Api<H> {
+    /// The API of a store.
+    pub fn new(store: Store, limits: Limits, hooks: H) -> Self {
+        Self {
+            store: Mutex::new(store),
+            bell: Event::new(),
+            watch_generation: AtomicU64::new(0),
+            limits,
+            hooks,
+        }
+    }
+
+    /// The store. Held for moments only, never over an await.
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        // A panic under the lock can leave no half-made change: each change is one call.
+        self.store.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Ends all watches that are open now, as a fault or a shutdown does.
+    pub fn break_watches(&self) {
+        self.watch_generation.fetch_add(1, Ordering::Relaxed);
+        self.ring();
+    }
+
+    /// Wakes all watches; to be called after changes.
+    pub fn ring(&self) {
+        self.bell.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/crates/rest/src/options.rs
@@ -0,0 +1,128 @@
+//! Query parameters.
+
+use tidespur_api::decode::FieldValidation;
+use tidespur_api::selector::Selector;
+use tidespur_api::{ApiError, meta};
+
+/// What a request's query says.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Narrowed to these.
+    pub selector: Selector,
+    /// Page size, 0 for all.
+    pub limit: usize,
+    /// Next page of this token.
+    pub continue_token: Option<String>,
+    /// From or at this version.
+    pub version: Option<u64>,
+    /// How `version` is meant in a list.
+    pub version_match: Option<String>,
+    /// A watch.
+    pub watch: bool,
+    /// The watch wants bookmarks.
+    pub bookmarks: bool,
+    /// The watch wants what stands first.
+    pub initial: Option<bool>,
+    /// The watch ends after this.
+    pub timeout: Option<f64>,
+    /// Nothing is to be changed.
+    pub dry_run: bool,
+    /// Fields that the type does not have.
+    pub fields: FieldValidation,
+    /// For deletions.
+    pub propagation: Option<String>,
+}
+
+/// A watch ends after at most this.
+pub const WATCH_MOST: f64 = 3600.0;
+
+impl Options {
+    /// Reads a query; unknown parameters are left alone, as published servers do.
+    pub fn parse(query: &str) -> Result<Self, ApiError> {
+        let pairs: Vec<(String, String)> = serde_urlencoded::from_str(query)
+            .map_err(|e| ApiError::bad_request(format!("the query can't be read: {e}")))?;
+        let get = |key: &str| pairs.iter().find(|(k, _)| k == key).map(|(_, v)| v.as_str());
+        let flag = |key: &str| match get(key) {
+            None | Some("" | "0" | "false") => Ok(false),
+            Some("1" | "true") => Ok(true),
+            Some(other) => Err(ApiError::bad_request(format!("{key} is {other:?}: use true or false"))),
+        };
+        let number = |key: &str| match get(key) {
+            None | Some("") => Ok(None),
+            Some(text) => text
+                .parse::<u64>()
+                .map(Some)
+                .map_err(|_| ApiError::bad_request(format!("{key} is {text:?}: use a whole number"))),
+        };
+        let version_match = get("resourceVersionMatch").map(str::to_owned);
+        if let Some(how) = &version_match
+            && !["Exact", "NotOlderThan"].contains(&how.as_str())
+        {
+            let text = format!("resourceVersionMatch is {how:?}: use Exact or NotOlderThan");
+            return Err(ApiError::bad_request(text));
+        }
+        let dry_run = match get("dryRun") {
+            None | Some("") => false,
+            Some("All") => true,
+            Some(other) => return Err(ApiError::bad_request(format!("dryRun is {other:?}: use All"))),
+        };
+        let initial = match get("sendInitialEvents") {
+            None => None,
+            Some(_) => Some(flag("sendInitialEvents")?),
+        };
+        let options = Self {
+            selector: Selector::parse(get("labelSelector"), get("fieldSelector"))?,
+            limit: number("limit")?.unwrap_or(0).min(100_000) as usize,
+            continue_token: get("continue").filter(|t| !t.is_empty()).map(str::to_owned),
+            version: number("resourceVersion")?,
+            version_match,
+            watch: flag("watch")?,
+            bookmarks: flag("allowWatchBookmarks")?,
+            initial,
+            timeout: number("timeoutSeconds")?.map(|s| (s as f64).min(WATCH_MOST)),
+            dry_run,
+            fields: FieldValidation::parse(get("fieldValidation"))?,
+            propagation: get("propagationPolicy").map(str::to_owned),
+        };
+        if options.watch && options.initial.is_some() && options.version_match.is_none() {
+            return Err(ApiError::bad_request("sendInitialEvents needs resourceVersionMatch=NotOlderThan"));
+        }
+        if !options.watch && options.initial.is_some() {
+            return Err(ApiError::bad_request("sendInitialEvents is for watches only"));
+        }
+        if !options.watch && options.version_match.is_some() && options.version.is_none() {
+            return Err(ApiError::bad_request("resourceVersionMatch needs resourceVersion"));
+        }
+        Ok(options)
+    }
+
+    /// Takes in the body of a deletion.
+    pub fn deletion(&self, body: &serde_json::Value) -> Result<crate::DeleteOptions, ApiError> {
+        let text = |path: &[&str]| meta::at(body, path).as_str().map(str::to_owned);
+        let propagation = text(&["propagationPolicy"]).or_else(|| self.propagation.clone());
+        if let Some(how) = &propagation
+            && !["Background", "Foreground", "Orphan"].contains(&how.as_str())
+        {
+            let text = format!("propagationPolicy is {how:?}: use Background, Foreground or Orphan");
+            return Err(ApiError::bad_request(text));
+        }
+        if meta::at(body, &["gracePeriodSeconds"]).as_i64().is_some_and(|grace| grace < 0) {
+            return Err(ApiError::bad_request("gracePeriodSeconds must be 0 or more"));
+        }
+        let version = match text(&["preconditions", "resourceVersion"]) {
+            None => None,
+            Some(text) => Some(text.parse::<u64>().map_err(|_| {
+                ApiError::bad_request(format!(
+                    "preconditions.resourceVersion is {text:?}: use a whole number"
+                ))
+            })?),
+        };
+        Ok(crate::DeleteOptions { propagation, uid: text(&["preconditions", "uid"]), version })
+    }
+
+    /// Whether the body of a deletion asks for a dry run.
+    pub fn dry_deletion(&self, body: &serde_json::Value) -> bool {
+        self.dry_run
+            || meta::at(body, &["dryRun"]).as_array().is_some_and(|list| list.iter().any(|d| d == "All"))
+    }
+}
--- a/crates/store/src/history.rs
+++ b/crates/store/src/history.rs
@@ -102,7 +102,11 @@
     }
 
     pub(crate) fn read(
-        &self, cursor: &mut Cursor, most: usize, now_at: u64, out: &mut Vec<Change>,
+        &self,
+        cursor: &mut Cursor,
+        most: usize,
+        now_at: u64,
+        out: &mut Vec<Change>,
     ) -> Result<(), Expired> {
         self.check(cursor.version)?;
         let from = self.changes.partition_point(|change| change.version <= cursor.version);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -84,7 +84,14 @@
         let (a, b) = (self.rng.next_u64(), self.rng.next_u64());
         // Version 4, variant 1 of RFC 9562.
         let (a, b) = (a & !0xf000 | 0x4000, b & !(0b11 << 62) | 0b10 << 62);
-        format!("{:08x}-{:04x}-{:04x}-{:04x}-{:012x}", a >> 32, a >> 16 & 0xffff, a & 0xffff, b >> 48, b & ((1 << 48) - 1))
+        format!(
+            "{:08x}-{:04x}-{:04x}-{:04x}-{:012x}",
+            a >> 32,
+            a >> 16 & 0xffff,
+            a & 0xffff,
+            b >> 48,
+            b & ((1 << 48) - 1)
+        )
     }
 
     /// Five characters for a generated name, of the published alphabet without vowels.
@@ -104,7 +111,11 @@
     }
 
     /// All objects of a resource, of one namespace or of all (""), in order.
-    pub fn all<'a>(&'a self, resource: &Resource, namespace: &'a str) -> impl Iterator<Item = &'a Arc<Object>> {
+    pub fn all<'a>(
+        &'a self,
+        resource: &Resource,
+        namespace: &'a str,
+    ) -> impl Iterator<Item = &'a Arc<Object>> {
         let index = resource.index;
         self.objects
             .range((index, namespace.to_owned(), String::new())..)
@@ -113,13 +124,21 @@
     }
 
     /// Creates an object under `metadata.name`; sets uid, version, generation and time.
-    pub fn create(&mut self, resource: &Resource, mut object: Object, now: f64) -> Result<Arc<Object>, ApiError> {
+    pub fn create(
+        &mut self,
+        resource: &Resource,
+        mut object: Object,
+        now: f64,
+    ) -> Result<Arc<Object>, ApiError> {
         let key = key(resource, meta::namespace(&object), meta::name(&object));
         if self.objects.contains_key(&key) {
             return Err(ApiError::exists(resource.plural, &key.2));
         }
         if self.counts[resource.index] >= self.limits.objects {
-            let text = format!("{} {} stand already, which is the most that is held", self.limits.objects, resource.plural);
+            let text = format!(
+                "{} {} stand already, which is the most that is held",
+                self.limits.objects, resource.plural
+            );
             return Err(ApiError::too_many(text, 10));
         }
         let uid = self.new_uid();
@@ -134,7 +153,10 @@
 
     /// Replaces an object. What the server sets (uid, time of creation) stays; an equal one is no change.
     pub fn update(
-        &mut self, resource: &Resource, mut object: Object, expect: &Expect,
+        &mut self,
+        resource: &Resource,
+        mut object: Object,
+        expect: &Expect,
     ) -> Result<Arc<Object>, ApiError> {
         let key = key(resource, meta::namespace(&object), meta::name(&object));
         let Some(old) = self.objects.get(&key).cloned() else {
@@ -160,7 +182,11 @@
 
     /// Removes an object; the version of its end is in what comes back.
     pub fn delete(
-        &mut self, resource: &Resource, namespace: &str, name: &str, expect: &Expect,
+        &mut self,
+        resource: &Resource,
+        namespace: &str,
+        name: &str,
+        expect: &Expect,
     ) -> Result<Arc<Object>, ApiError> {
         let key = key(resource, namespace, name);
         let Some(old) = self.objects.get(&key).cloned() else {
@@ -173,8 +199,12 @@
         let mut last = (*old).clone();
         meta::set(&mut last, "resourceVersion", self.version.to_string().into());
         let last = Arc::new(last);
-        let change =
-            Change { version: self.version, kind: ChangeKind::Deleted, object: last.clone(), before: Some(old) };
+        let change = Change {
+            version: self.version,
+            kind: ChangeKind::Deleted,
+            object: last.clone(),
+            before: Some(old),
+        };
         self.histories[resource.index].push(change);
         Ok(last)
     }
@@ -196,7 +226,13 @@
         self.snapshots.clear();
     }
 
-    fn put(&mut self, resource: &Resource, key: Key, mut object: Object, before: Option<Arc<Object>>) -> Arc<Object> {
+    fn put(
+        &mut self,
+        resource: &Resource,
+        key: Key,
+        mut object: Object,
+        before: Option<Arc<Object>>,
+    ) -> Arc<Object> {
         self.version += 1;
         meta::set(&mut object, "resourceVersion", self.version.to_string().into());
         let object = Arc::new(object);
@@ -220,7 +256,8 @@
         return Err(ApiError::conflict(resource.plural, name, &why));
     }
     if expect.version.is_some_and(|version| version != meta::version(old)) {
-        let why = "the object has been modified; please apply your changes to the latest version and try again";
+        let why =
+            "the object has been modified; please apply your changes to the latest version and try again";
         return Err(ApiError::conflict(resource.plural, name, why));
     }
     Ok(())
--- a/crates/store/src/list.rs
+++ b/crates/store/src/list.rs
@@ -37,10 +37,12 @@
 impl Store {
     /// One page. Pages of one list show one moment; that is kept for a bounded number of moments.
     pub fn list(&mut self, resource: &Resource, request: &PageRequest) -> Result<Page, ListError> {
-        let gone = || ApiError::expired("the provided continue parameter is too old: list again from the start");
+        let gone =
+            || ApiError::expired("the provided continue parameter is too old: list again from the start");
         let (version, after) = match &request.continue_token {
             Some(token) => {
-                let bad = || ApiError::bad_request("the continue token is not one that this server handed out");
+                let bad =
+                    || ApiError::bad_request("the continue token is not one that this server handed out");
                 let mut parts = token.splitn(3, '/');
                 let version = parts.next().and_then(|v| v.parse::<u64>().ok()).ok_or_else(bad)?;
                 let namespace = parts.next().ok_or_else(bad)?;
