tidespur up: a Job goes from the API through the decision to a node and back

Need: one command that runs edge, planners and stand-in nodes as processes on loopback. rig starts and ends them, cli has up, apply, get, describe, delete, cordon, drain, check-config. Seen: a Job of four Pods on 8 nodes and 2 planners was placed, ran and completed, shown by get and by events.

--- /dev/null
+++ b/crates/cli/src/children.rs
@@ -0,0 +1,116 @@
+//! The programs that `up` starts, as hidden sub-commands. They end with their parent.
+
+use std::path::PathBuf;
+use tidespur_config::Config;
+use tidespur_rig::process::end_with_parent;
+use tidespur_standin::{NodeSettings, node, register};
+
+/// Settings from a file, or the built-in ones.
+pub fn config(path: Option<&PathBuf>) -> Result<Config, String> {
+    match path {
+        Some(path) => tidespur_config::load(path),
+        None => tidespur_config::parse("built-in", tidespur_config::DEFAULT),
+    }
+    .map_err(|e| e.to_string())
+}
+
+pub fn edge(options: tidespur_edge::Options) -> Result<(), String> {
+    end_with_parent();
+    let config = config(options.config.as_ref())?;
+    let ready = |api: &str, link: &str| println!("ready {api} {link}");
+    smol::block_on(tidespur_edge::run(config, options, ready))
+}
+
+/// A planner, and how many there are.
+#[derive(clap::Args)]
+pub struct PlannerOptions {
+    #[command(flatten)]
+    options: tidespur_planner::Options,
+    /// How many planners share the nodes; else as in the settings
+    #[arg(long)]
+    planners: Option<u32>,
+}
+
+pub fn planner(options: PlannerOptions) -> Result<(), String> {
+    end_with_parent();
+    let mut config = config(options.options.config.as_ref())?;
+    if let Some(planners) = options.planners {
+        config.planner.planners = planners.max(1);
+    }
+    smol::block_on(tidespur_planner::run(config, options.options))
+}
+
+/// A stand-in node.
+#[derive(clap::Args)]
+pub struct NodeOptions {
+    #[arg(long)]
+    listen: String,
+    #[arg(long)]
+    register: String,
+    #[arg(long)]
+    name: String,
+    #[arg(long)]
+    zone: String,
+    #[arg(long)]
+    rack: String,
+    #[arg(long)]
+    kind: String,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 0.0)]
+    cold: f64,
+    #[arg(long)]
+    record: Option<PathBuf>,
+    #[arg(long)]
+    config: Option<PathBuf>,
+}
+
+pub fn node(options: NodeOptions) -> Result<(), String> {
+    end_with_parent();
+    let config = config(options.config.as_ref())?;
+    let kind =
+        config.kind.get(&options.kind).ok_or(format!("kind {:?} is not in the settings", options.kind))?;
+    let safety = &config.safety;
+    let settings = NodeSettings {
+        name: options.name,
+        zone: options.zone,
+        rack: options.rack,
+        kind: options.kind,
+        cores: kind.cores,
+        memory: kind.memory,
+        admit_cores: config.nodes.admit_cores,
+        admit_memory: config.nodes.admit_memory,
+        cold: options.cold,
+        cold_from: safety.cold_from,
+        cold_bears: safety.cold_bears,
+        fall_multiple: safety.fall_multiple,
+        overload_for: safety.overload_for,
+        seed: options.seed,
+        ..NodeSettings::default()
+    };
+    let priorities =
+        config.class.iter().map(|(name, class)| (name.clone(), i64::from(class.priority))).collect();
+    let (listen, register, record) = (options.listen, options.register, options.record);
+    let options = node::Options { settings, listen, register, record, priorities };
+    smol::block_on(node::run(options, |address| println!("ready {address}"))).map_err(|e| e.to_string())
+}
+
+/// The stand-in register.
+#[derive(clap::Args)]
+pub struct RegisterOptions {
+    #[arg(long)]
+    listen: String,
+    #[arg(long, default_value_t = 0.5)]
+    delay: f64,
+    #[arg(long, default_value_t = 2.0)]
+    gone_after: f64,
+    #[arg(long)]
+    record: Option<PathBuf>,
+}
+
+pub fn register(options: RegisterOptions) -> Result<(), String> {
+    end_with_parent();
+    let RegisterOptions { listen, delay, gone_after, record } = options;
+    let options = register::Options { listen, delay, gone_after, record };
+    smol::block_on(register::run(options, |address| println!("ready {address}"))).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/cli/src/show.rs
@@ -0,0 +1,106 @@
+//! Objects as tables.
+
+use comfy_table::{ContentArrangement, Table, presets};
+use serde_json::Value;
+use tidespur_api::{Resource, meta, names};
+use tidespur_net::clock;
+
+fn age(object: &Value) -> String {
+    let Some(made) = meta::unix(meta::text(object, &["metadata", "creationTimestamp"])) else {
+        return "?".into();
+    };
+    let seconds = (clock::now() - made).max(0.0) as u64;
+    match seconds {
+        0..120 => format!("{seconds}s"),
+        120..7200 => format!("{}m", seconds / 60),
+        7200..172_800 => format!("{}h", seconds / 3600),
+        _ => format!("{}d", seconds / 86_400),
+    }
+}
+
+fn number(object: &Value, path: &[&str]) -> String {
+    meta::at(object, path).as_i64().unwrap_or(0).to_string()
+}
+
+/// Column heads of a resource.
+pub fn heads(resource: &Resource, wide: bool) -> Vec<&'static str> {
+    let (narrow, more): (&[&'static str], &[&'static str]) = match resource.kind {
+        "Job" => (&["NAME", "STATUS", "COMPLETIONS", "ACTIVE", "FAILED", "AGE"], &["CLASS", "READY"]),
+        "Pod" => (&["NAME", "STATUS", "NODE", "AGE"], &["CLASS", "CPU", "MEMORY", "MESSAGE"]),
+        "Node" => {
+            (&["NAME", "STATUS", "ZONE", "RACK", "KIND", "FREE-CPU", "FREE-MEMORY"], &["ADDRESS", "UP"])
+        }
+        "Event" => (&["LAST", "TYPE", "REASON", "OBJECT", "MESSAGE"], &[]),
+        _ => (&["NAME", "STATUS", "AGE"], &[]),
+    };
+    let more = if wide { more } else { &[] };
+    narrow.iter().chain(more).copied().collect()
+}
+
+/// One object's row.
+pub fn row(resource: &Resource, object: &Value, wide: bool) -> Vec<String> {
+    let text = |path: &[&str]| meta::text(object, path).to_owned();
+    let note = |key: &str| meta::annotation(object, key).unwrap_or("").to_owned();
+    let label = |key: &str| meta::label(object, key).unwrap_or("").to_owned();
+    let name = meta::name(object).to_owned();
+    let mut row = match resource.kind {
+        "Job" => {
+            let status = match () {
+                () if meta::has_condition(object, "Complete") => "Complete",
+                () if meta::has_condition(object, "Failed") => "Failed",
+                () if meta::has_condition(object, "Suspended") => "Suspended",
+                () => "Running",
+            };
+            let wanted =
+                meta::at(object, &["spec", "completions"]).as_i64().map_or("1+".into(), |n| n.to_string());
+            let done = format!("{}/{wanted}", number(object, &["status", "succeeded"]));
+            let (active, failed) =
+                (number(object, &["status", "active"]), number(object, &["status", "failed"]));
+            vec![name, status.into(), done, active, failed, age(object)]
+        }
+        "Pod" => {
+            let reason = text(&["status", "reason"]);
+            let status = if reason.is_empty() { text(&["status", "phase"]) } else { reason };
+            vec![name, status, text(&["spec", "nodeName"]), age(object)]
+        }
+        "Node" => {
+            let off = meta::at(object, &["spec", "unschedulable"]) == true;
+            let status = if off { "Ready,SchedulingDisabled" } else { "Ready" };
+            let place = vec![name, status.into(), label(names::ZONE), label(names::RACK), label(names::KIND)];
+            [place, vec![note(names::FREE_CORES), note(names::FREE_MEMORY)]].concat()
+        }
+        "Event" => {
+            let about =
+                format!("{}/{}", text(&["involvedObject", "kind"]), text(&["involvedObject", "name"]));
+            vec![text(&["lastTimestamp"]), text(&["type"]), text(&["reason"]), about, text(&["message"])]
+        }
+        _ => vec![name, text(&["status", "phase"]), age(object)],
+    };
+    if wide {
+        let (cores, memory) = tidespur_api::task::requests(object);
+        row.extend(match resource.kind {
+            "Job" => vec![
+                text(&["spec", "template", "spec", "priorityClassName"]),
+                number(object, &["status", "ready"]),
+            ],
+            "Pod" => {
+                let class = text(&["spec", "priorityClassName"]);
+                vec![class, format!("{cores}"), format!("{memory}Gi"), text(&["status", "message"])]
+            }
+            "Node" => vec![note(names::ADDRESS), note(names::UP_SINCE)],
+            _ => vec![],
+        });
+    }
+    row
+}
+
+/// A table of objects.
+pub fn table(resource: &Resource, objects: &[Value], wide: bool) -> String {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_content_arrangement(ContentArrangement::Disabled);
+    table.set_header(heads(resource, wide));
+    for object in objects {
+        table.add_row(row(resource, object, wide));
+    }
+    table.to_string()
+}
--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -17,6 +17,7 @@
     pub(crate) classes: Vec<String>,
     pub(crate) open: AtomicUsize,
     pub(crate) open_most: usize,
+    pub(crate) planners: AtomicUsize,
     pub(crate) inputs: Sender<Input>,
     pub(crate) register: Client,
     pub(crate) recorder: Recorder,
@@ -142,6 +143,13 @@
         }
     }
 
+    fn ready(&self) -> Result<String, ApiError> {
+        match self.planners.load(Ordering::Relaxed) {
+            0 => Err(ApiError::unavailable("no planner is connected", 1)),
+            planners => Ok(format!("ok, planners: {planners}")),
+        }
+    }
+
     fn written(&self) {
         // A full queue is being worked through, and the store is read after each step.
         let _ = self.inputs.try_send(Input::Kick);
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -94,6 +94,7 @@
         classes: config.class.keys().cloned().collect(),
         open: AtomicUsize::new(0),
         open_most: config.edge.open_most as usize,
+        planners: AtomicUsize::new(0),
         inputs: send.clone(),
         register: Client::new(&options.register, 4, vec![]),
         recorder: recorder.clone(),
@@ -146,6 +147,7 @@
             let changed = store.version() != version;
             drop(store);
             self.api.hooks.open.store(core.open(), Ordering::Relaxed);
+            self.api.hooks.planners.store(core.planners(), Ordering::Relaxed);
             let Ok(planners) = self.planners.lock() else { return };
             for (planner, message) in out {
                 // A full queue means that the planner reads nothing: its link ends, and its tasks with it.
--- a/crates/rest/src/handle.rs
+++ b/crates/rest/src/handle.rs
@@ -96,6 +96,7 @@
             json!({"major": "1", "minor": "37", "gitVersion": concat!("v1.37.0+tidespur-", env!("CARGO_PKG_VERSION")),
             "platform": "linux"}),
         ),
+        Route::Health if path.starts_with("/readyz") => plain(json!(api.hooks.ready()?)),
         Route::Health => plain(json!("ok")),
         Route::Core => {
             plain(json!({"kind": "APIVersions", "versions": ["v1"], "serverAddressByClientCIDRs": []}))
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -89,6 +89,10 @@
     fn headers(&self) -> Vec<(&'static str, String)> {
         vec![]
     }
+    /// Text of `/readyz`, or why work can't be taken now.
+    fn ready(&self) -> Result<String, ApiError> {
+        Ok("ok".into())
+    }
     /// Answers what the plain API does not know.
     fn other(&self, _method: &str, _path: &str, _body: &[u8]) -> Option<Result<Object, ApiError>> {
         None
--- /dev/null
+++ b/crates/rig/src/cluster.rs
@@ -0,0 +1,257 @@
+//! A whole cluster of processes on loopback.
+
+use crate::process::Process;
+use bytes::Bytes;
+use hyper::Method;
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use tidespur_net::{Client, clock};
+use tidespur_standin::Fault;
+
+/// What a cluster is made of.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// The `tidespur` program.
+    pub program: PathBuf,
+    /// Nodes.
+    pub nodes: usize,
+    /// Planners.
+    pub planners: usize,
+    /// Edges.
+    pub edges: usize,
+    /// What all chance is drawn from.
+    pub seed: u64,
+    /// Settings for edges and planners.
+    pub config: Option<PathBuf>,
+    /// Address of the first edge's API.
+    pub api: String,
+    /// Recordings of all sockets go here.
+    pub records: Option<PathBuf>,
+    /// Logs of all processes go here; else to standard error.
+    pub logs: Option<PathBuf>,
+    /// The register is so late.
+    pub delay: f64,
+    /// Nodes are cold at first.
+    pub cold: bool,
+    /// Zones.
+    pub zones: usize,
+}
+
+impl Layout {
+    /// A cluster of usual size.
+    pub fn new(program: PathBuf, nodes: usize, planners: usize, seed: u64) -> Self {
+        Self {
+            program,
+            nodes,
+            planners,
+            edges: 1,
+            seed,
+            config: None,
+            api: "127.0.0.1:0".into(),
+            records: None,
+            logs: None,
+            delay: 0.5,
+            cold: false,
+            zones: 2,
+        }
+    }
+}
+
+/// Where a node stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Site {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its rack.
+    pub rack: String,
+    /// Its kind.
+    pub kind: &'static str,
+}
+
+/// Seconds in which a node that came up cold is warm.
+const COLD: f64 = 18.0;
+
+/// A running cluster; all of it ends with this value.
+#[derive(Debug)]
+pub struct Cluster {
+    layout: Layout,
+    /// The register.
+    pub register: Process,
+    /// Nodes, in the order of `sites`.
+    pub nodes: Vec<Process>,
+    /// Edges.
+    pub edges: Vec<Process>,
+    /// Planners.
+    pub planners: Vec<Process>,
+    /// Where the nodes stand.
+    pub sites: Vec<Site>,
+}
+
+impl Cluster {
+    /// Starts everything; the nodes may not be listed yet.
+    pub fn start(layout: Layout) -> Result<Self, String> {
+        for folder in [&layout.records, &layout.logs].into_iter().flatten() {
+            std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        }
+        let sites: Vec<Site> = (0..layout.nodes).map(|i| site(i, &layout)).collect();
+        let launch = |name: &str, mut arguments: Vec<String>| {
+            if let Some(folder) = &layout.records {
+                arguments
+                    .extend(["--record".into(), folder.join(format!("{name}.jsonl")).display().to_string()]);
+            }
+            let log = layout.logs.as_ref().map(|folder| folder.join(format!("{name}.log")));
+            Process::start(name, layout.program.clone(), arguments, log, !name.starts_with("planner"))
+        };
+        let words = |text: &str| text.split_whitespace().map(str::to_owned).collect::<Vec<_>>();
+        let register = launch(
+            "register",
+            words(&format!("standin-register --listen 127.0.0.1:0 --delay {}", layout.delay)),
+        )?;
+        let at = register.addresses[0].clone();
+        let mut config = Vec::new();
+        if let Some(path) = &layout.config {
+            config.extend(["--config".into(), path.display().to_string()]);
+        }
+        let mut nodes = Vec::new();
+        for (i, site) in sites.iter().enumerate() {
+            let seed = layout.seed.wrapping_mul(1_000).wrapping_add(i as u64);
+            let cold = if layout.cold { COLD } else { 0.0 };
+            let line = format!(
+                "standin-node --listen 127.0.0.1:0 --register {at} --name {} --zone {} --rack {} --kind {} \
+                 --seed {seed} --cold {cold}",
+                site.name, site.zone, site.rack, site.kind
+            );
+            nodes.push(launch(&site.name, [words(&line), config.clone()].concat())?);
+        }
+        let mut edges = Vec::new();
+        for i in 0..layout.edges {
+            let api = if i == 0 { layout.api.as_str() } else { "127.0.0.1:0" };
+            let seed = layout.seed.wrapping_add(7_000 + i as u64);
+            let line =
+                format!("edge --api {api} --link 127.0.0.1:0 --register {at} --name edge-{i} --seed {seed}");
+            edges.push(launch(&format!("edge-{i}"), [words(&line), config.clone()].concat())?);
+        }
+        let links: String =
+            edges.iter().map(|edge: &Process| format!("--edge {} ", edge.addresses[1])).collect();
+        let mut planners = Vec::new();
+        for i in 0..layout.planners {
+            let zone = zone(i % layout.zones.max(1));
+            let seed = layout.seed.wrapping_add(9_000 + i as u64);
+            let line = format!(
+                "planner {links} --register {at} --zone {zone} --ordinal {i} --seed {seed} --planners {}",
+                layout.planners
+            );
+            planners.push(launch(&format!("planner-{i}"), [words(&line), config.clone()].concat())?);
+        }
+        Ok(Self { layout, register, nodes, edges, planners, sites })
+    }
+
+    /// The API's address at an edge.
+    pub fn api(&self, edge: usize) -> &str {
+        &self.edges[edge].addresses[0]
+    }
+
+    /// Waits until all nodes are listed and all planners connected, at every edge.
+    pub async fn wait_ready(&self, seconds: f64) -> Result<(), String> {
+        let until = clock::now() + seconds;
+        for edge in 0..self.edges.len() {
+            let client = Client::new(self.api(edge), 1, vec![]);
+            loop {
+                let ready = client.send(Method::GET, "/readyz", "", Bytes::new(), 2.0).await;
+                let nodes = client.send(Method::GET, "/api/v1/nodes", "", Bytes::new(), 2.0).await;
+                let listed = nodes.map_or(0, |n| n.json()["items"].as_array().map_or(0, Vec::len));
+                let all = format!("ok, planners: {}", self.layout.planners);
+                if ready.is_ok_and(|r| r.body == all.as_bytes()) && listed >= self.layout.nodes {
+                    break;
+                }
+                if clock::now() > until {
+                    return Err(format!("edge-{edge}: {listed} of {} nodes are listed", self.layout.nodes));
+                }
+                clock::sleep(0.05).await;
+            }
+        }
+        // Planners list on their own; a moment later than the edge at most.
+        clock::sleep(0.2).await;
+        Ok(())
+    }
+
+    /// A child by name.
+    pub fn process(&mut self, name: &str) -> Option<&mut Process> {
+        let all = self.nodes.iter_mut().chain(&mut self.edges).chain(&mut self.planners);
+        all.chain([&mut self.register]).find(|process| process.name == name)
+    }
+
+    /// Starts a killed node again where it was, cold.
+    pub fn restart_node(&mut self, name: &str) -> Result<(), String> {
+        let node =
+            self.nodes.iter_mut().find(|node| node.name == name).ok_or(format!("{name}: no such node"))?;
+        let listen = node.addresses[0].clone();
+        node.restart(&[("--listen", listen), ("--cold", COLD.to_string())], true)
+    }
+
+    /// Starts a killed edge again where it was.
+    pub fn restart_edge(&mut self, name: &str) -> Result<(), String> {
+        let edge =
+            self.edges.iter_mut().find(|edge| edge.name == name).ok_or(format!("{name}: no such edge"))?;
+        let (api, link) = (edge.addresses[0].clone(), edge.addresses[1].clone());
+        edge.restart(&[("--api", api), ("--link", link)], true)
+    }
+
+    /// Starts a killed planner again.
+    pub fn restart_planner(&mut self, name: &str) -> Result<(), String> {
+        let planner =
+            self.planners.iter_mut().find(|p| p.name == name).ok_or(format!("{name}: no such planner"))?;
+        planner.restart(&[], false)
+    }
+
+    /// Makes something go wrong at a node.
+    pub async fn fault(&self, node: &str, fault: &Fault) -> Result<(), String> {
+        let process = self.nodes.iter().find(|p| p.name == node).ok_or(format!("{node}: no such node"))?;
+        let client = Client::new(&process.addresses[0], 1, vec![]);
+        let body = serde_json::to_vec(fault).map_err(|e| e.to_string())?.into();
+        let sent = client.send(Method::POST, "/standin/fault", "application/json", body, 2.0).await;
+        match sent {
+            Ok(reply) if reply.status.is_success() => Ok(()),
+            Ok(reply) => Err(format!("{node}: {}", reply.status)),
+            Err(problem) => Err(format!("{node}: {problem}")),
+        }
+    }
+
+    /// Marks a node as (not) schedulable, through the API.
+    pub async fn cordon(&self, node: &str, on: bool) -> Result<(), String> {
+        let client = Client::new(self.api(0), 1, vec![]);
+        let body: Value = serde_json::json!({"spec": {"unschedulable": on}});
+        let bytes = body.to_string().into_bytes().into();
+        let path = format!("/api/v1/nodes/{node}");
+        let media = "application/merge-patch+json";
+        match client.send(Method::PATCH, &path, media, bytes, 3.0).await {
+            Ok(reply) if reply.status.is_success() => Ok(()),
+            Ok(reply) => Err(format!("{node}: {} {}", reply.status, reply.json()["message"])),
+            Err(problem) => Err(format!("{node}: {problem}")),
+        }
+    }
+
+    /// The folder of recordings.
+    pub fn records(&self) -> Option<&Path> {
+        self.layout.records.as_deref()
+    }
+}
+
+fn zone(i: usize) -> String {
+    format!("halle-{}", char::from(b'a' + (i % 26) as u8))
+}
+
+/// Nodes alternate between zones; each zone has racks of about four; two of five nodes are large.
+fn site(i: usize, layout: &Layout) -> Site {
+    let zones = layout.zones.max(1);
+    let place = i / zones;
+    let racks = (layout.nodes / zones / 4).max(2);
+    Site {
+        name: format!("node-{i:02}"),
+        zone: zone(i % zones),
+        rack: format!("rack-{}", place % racks + 1),
+        kind: if i % 5 < 3 { "std-24" } else { "gross-48" },
+    }
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,7 @@
+//! Runs edges, planners and stand-ins as real processes on loopback; plays scripted days through them; judges the
+//! five rules from what was recorded at the sockets.
+
+pub mod cluster;
+pub mod process;
+
+pub use cluster::{Cluster, Layout};
