--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `tidespur`: operators' commands, and the programs behind them.
 
+mod badday;
 mod children;
 mod client;
 mod commands;
@@ -49,6 +50,8 @@
     Uncordon(commands::NodeOptions),
     /// Cordon a node and delete its Pods, so that their owners place them elsewhere
     Drain(commands::DrainOptions),
+    /// Play a scripted bad day through real processes and judge the rules from the traffic
+    Badday(badday::BadDayOptions),
     /// Check a settings file
     CheckConfig(commands::CheckOptions),
     /// Write completions for a shell
@@ -77,6 +80,11 @@
     let done = match arguments.command {
         Command::Up(options) => up::up(options),
         Command::Demo(options) => return up::demo(options),
+        Command::Badday(options) => match badday::bad_day(options) {
+            Ok(true) => Ok(()),
+            Ok(false) => return ExitCode::FAILURE,
+            Err(problem) => Err(problem),
+        },
         Command::Apply(options) => commands::apply(&target, options),
         Command::Get(options) => commands::get(&target, options),
         Command::Describe(options) => commands::describe(&target, options),
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -91,6 +91,7 @@
         let this = this.clone();
         smol::spawn(async move { this.follow_edge(id as EdgeId, &address).await }).detach();
     }
+    this.recorder.note("started", || json!({}));
     tracing::info!(planner = this.name, "started");
     this.turn(&mut core, receive).await;
     Ok(())
@@ -119,6 +120,7 @@
     fn carry_out(self: &Arc<Self>, output: Output) {
         match output {
             Output::Edge(edge, message) => {
+                self.recorder.note("tell", || json!({"message": message}));
                 let Ok(edges) = self.edges.lock() else { return };
                 // A full queue means that the edge reads nothing: its link ends, and its tasks with it.
                 if let Some(send) = edges.get(&edge)
@@ -369,6 +371,7 @@
                     life.heard(clock::now());
                 }
                 if message != ToPlanner::Ping {
+                    self.recorder.note("heard", || json!({"message": message}));
                     let _ = self.inputs.send(Input::Edge(id, message)).await;
                 }
             }
--- /dev/null
+++ b/crates/rig/src/checker/spread.rs
@@ -0,0 +1,76 @@
+//! Fifth rule: of one service, one planner has no more in one place than its class allows, at each send.
+
+use super::{Break, Report, Rules, Traffic};
+use std::collections::BTreeMap;
+
+const RULE: &str = "spread kept";
+
+struct Held {
+    service: String,
+    node: String,
+}
+
+pub(super) fn judge(traffic: &Traffic, rules: &Rules, report: &mut Report) {
+    // Zone and rack of each node, as the nodes themselves said at their start.
+    let mut sites: BTreeMap<&str, (&str, &str)> = BTreeMap::new();
+    for line in traffic.of("up") {
+        sites.insert(&line.who, (line.text("zone"), line.text("rack")));
+    }
+    let place = |how: &str, node: &str| {
+        let (zone, rack) = sites.get(node).copied().unwrap_or(("", ""));
+        match how {
+            "node" => node.to_owned(),
+            "rack" => format!("{zone}/{rack}"),
+            _ => zone.to_owned(),
+        }
+    };
+    // By planner and request: what it placed or is placing.
+    let mut held: BTreeMap<(String, String), Held> = BTreeMap::new();
+    for line in &traffic.lines {
+        let key = (line.who.clone(), line.text("uid").to_owned());
+        match line.what.as_str() {
+            "send" => {
+                let (service, node) = (line.text("service").to_owned(), line.text("node").to_owned());
+                held.insert(key, Held { service: service.clone(), node: node.clone() });
+                let Some(class) =
+                    rules.classes.get(line.text("class")).filter(|class| !class.spread.is_empty())
+                else {
+                    continue;
+                };
+                let here = place(&class.spread, &node);
+                let same = |h: &Held| h.service == service && place(&class.spread, &h.node) == here;
+                let count = held.iter().filter(|((who, _), h)| *who == line.who && same(h)).count();
+                if count > class.most {
+                    let what = format!(
+                        "{} has {count} of {service} in {here}, {} are allowed",
+                        line.who, class.most
+                    );
+                    report.breaks.push(Break { rule: RULE, at: line.t, what });
+                }
+            }
+            "answer" if line.value.get("attempt").is_some() && line.text("said") != "accepted" => {
+                held.remove(&key);
+            }
+            "tell" => {
+                if let Some(uid) = line.value["message"]["Ended"]["uid"].as_str() {
+                    held.remove(&(line.who.clone(), uid.to_owned()));
+                }
+            }
+            "heard" => {
+                let message = &line.value["message"];
+                if let Some(uid) = message["Stop"]["uid"].as_str() {
+                    held.remove(&(line.who.clone(), uid.to_owned()));
+                }
+                if let Some(uid) = message["InPlace"]["ask"]["uid"].as_str() {
+                    let text = |v: &serde_json::Value| v.as_str().unwrap_or("").to_owned();
+                    let service = text(&message["InPlace"]["ask"]["service"]);
+                    let node = text(&message["InPlace"]["node"]);
+                    held.insert((line.who.clone(), uid.to_owned()), Held { service, node });
+                }
+            }
+            // A planner that starts anew holds nothing.
+            "started" => held.retain(|(who, _), _| *who != line.who),
+            _ => {}
+        }
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,7 +1,10 @@
 //! Runs edges, planners and stand-ins as real processes on loopback; plays scripted days through them; judges the
 //! five rules from what was recorded at the sockets.
 
+pub mod checker;
 pub mod cluster;
+pub mod play;
 pub mod process;
+pub mod scenario;
 
 pub use cluster::{Cluster, Layout};
