demo: a morning of Jobs with a rack lost halfway, judged at its end

Need: one command that shows the whole path. It plays scenarios/morning.hcl, draws progress, and exits 0 only if every task had one outcome and no rule broke.

--- a/crates/cli/src/up.rs
+++ b/crates/cli/src/up.rs
@@ -4,7 +4,11 @@
 use futures_lite::StreamExt;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tidespur_rig::{Cluster, Layout};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tidespur_rig::play::{Progress, play};
+use tidespur_rig::scenario::Scenario;
+use tidespur_rig::{Cluster, Layout, checker};
 
 #[derive(Args)]
 pub struct UpOptions {
@@ -90,6 +94,88 @@
     seed: u64,
 }
 
-pub fn demo(_options: DemoOptions) -> ExitCode {
-    ExitCode::FAILURE
+/// The demo's day.
+const MORNING: &str = include_str!("../../../scenarios/morning.hcl");
+
+pub fn demo(options: DemoOptions) -> ExitCode {
+    match morning(options) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(problem) => {
+            eprintln!("tidespur: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn morning(options: DemoOptions) -> Result<bool, String> {
+    let mut day = Scenario::parse(MORNING)?;
+    (day.nodes, day.planners) = (options.nodes, options.planners);
+    let scratch = tempfile::tempdir().map_err(|e| e.to_string())?;
+    let records = scratch.path().join("records");
+    let mut layout = layout(options.nodes, options.planners, options.seed)?;
+    layout.logs = Some(scratch.path().join("logs"));
+    let jobs = day.work.values().map(|work| work.jobs).sum();
+    println!(
+        "a morning on {} nodes in two halls, with {} planners: {jobs} Jobs",
+        options.nodes, options.planners
+    );
+    let progress = Arc::new(Progress { jobs, ..Progress::default() });
+    let over = Arc::new(AtomicBool::new(false));
+    let shown = std::thread::spawn({
+        let (progress, over) = (progress.clone(), over.clone());
+        move || show(&progress, &over)
+    });
+    let played = play(&day, layout, &records, progress);
+    over.store(true, Ordering::Relaxed);
+    // It only draws; if it failed there is nothing to tell.
+    let _ = shown.join();
+    played?;
+    let report = checker::judge(&records, tidespur_config::DEFAULT, options.seed)?;
+    println!("what became of {} tasks:", report.submitted);
+    for (what, count) in [
+        ("placed", report.placed),
+        ("refused (asking again is harmless; their Jobs did)", report.refused),
+        ("failed (may have run; settled before a repeat)", report.failed),
+        ("withdrawn by their owner", report.withdrawn),
+        ("unanswered", report.unanswered),
+        ("with two outcomes", report.twice),
+    ] {
+        println!("  {count:>5}  {what}");
+    }
+    println!("Jobs not complete: {}", report.jobs_open);
+    match report.broken_rules.as_slice() {
+        [] => println!("all five rules were kept, judged from {} offers and their answers", report.offers),
+        broken => println!("BROKEN: {}", broken.join(", ")),
+    }
+    for one in &report.breaks {
+        println!("  {:.3} {}: {}", one.at, one.rule, one.what);
+    }
+    Ok(report.broken_rules.is_empty() && report.unanswered == 0 && report.twice == 0 && report.submitted > 0)
+}
+
+/// Draws how far the day is, until it is over.
+fn show(progress: &Progress, over: &AtomicBool) {
+    let bar = indicatif::ProgressBar::new(progress.jobs as u64);
+    if let Ok(style) =
+        indicatif::ProgressStyle::with_template("{elapsed:>4} {wide_bar} {pos}/{len} Jobs done; {msg}")
+    {
+        bar.set_style(style);
+    }
+    let mut told = String::new();
+    while !over.load(Ordering::Relaxed) {
+        bar.set_position(progress.done.load(Ordering::Relaxed) as u64);
+        let trouble = progress.trouble.lock().map(|t| t.clone()).unwrap_or_default();
+        if trouble != told {
+            bar.println(format!("now: {trouble}"));
+            // Without a terminal nothing is drawn, and the line is printed plainly.
+            if bar.is_hidden() {
+                println!("now: {trouble}");
+            }
+            told = trouble;
+        }
+        bar.set_message(format!("{} submitted", progress.submitted.load(Ordering::Relaxed)));
+        std::thread::sleep(std::time::Duration::from_millis(100));
+    }
+    bar.finish_and_clear();
 }
