--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -166,7 +166,7 @@
         let mut actions = Vec::new();
         self.scheduler.step(now, events, &mut actions);
         for action in actions {
-            self.carry_out(action, out);
+            self.carry_out(now, action, out);
         }
         self.answer_questions(now, out);
         self.unwanted.retain(|_, until| now < *until);
@@ -484,6 +484,13 @@
             Answer::Ended(ending, words, report) => {
                 known.stage = Stage::Open;
                 known.last_words = format!("{node}: {words}");
+                if matches!(ending, Ending::Late | Ending::Broken(_) | Ending::Failed) && known.safe {
+                    // It is sent again, so what the node shows of this attempt is one copy too many.
+                    let name = (known.ask.tenant.clone(), known.ask.name.clone());
+                    if self.nodes.0.get(&node).is_some_and(|n| n.pods.contains_key(&name)) {
+                        self.delete_at(&node, name, out);
+                    }
+                }
                 events.push(Event::Outcome { task: id, attempt, ending, closed: false, report });
             }
         }
@@ -519,7 +526,12 @@
             Some((id, Stage::Bound { node: there, .. }, _)) if there == node => {
                 self.seen(id, at, events, out)
             }
-            // Its answer is on its way, or lost: then the attempt ends by its time-out.
+            // The node shows that it took the task: as good as its answer, which is on its way or lost. Guards against
+            // lost answers where the watch stands; should also help where answers are slow. No harm is known: what a
+            // node shows it holds.
+            Some((id, Stage::Out { attempt, node: there }, _)) if there == node && !over => {
+                self.answered(now, id, attempt, Answer::Accepted(None), events, out);
+            }
             Some((_, Stage::Out { node: there, .. } | Stage::Leaving { node: there, .. }, _))
                 if there == node => {}
             // A copy from an attempt that was given up. Where copies do no harm it is stopped, so that it holds no
@@ -575,7 +587,7 @@
         }
     }
 
-    fn carry_out(&mut self, action: Action, out: &mut Vec<Output>) {
+    fn carry_out(&mut self, now: f64, action: Action, out: &mut Vec<Output>) {
         match action {
             Action::Send { task, machine, wait } => {
                 let (Some(known), Some(node)) = (self.book.get_mut(task), self.machines.of(machine)) else {
@@ -589,6 +601,11 @@
             }
             Action::Refuse { task, retry_in } => {
                 let Some(known) = self.book.close(task) else { return };
+                if known.safe && known.attempts > 0 {
+                    // Its owner may ask again, so a copy that an unclear attempt left somewhere is one too many.
+                    self.unwanted.insert(known.ask.uid.clone(), now + UNWANTED_FOR);
+                    self.reap(&known.ask.uid, out);
+                }
                 let why = self.why(&known.last_words, "no node took it in time");
                 out.push(Output::Edge(known.edge, ToEdge::Refused { uid: known.ask.uid, why, retry_in }));
             }
--- a/crates/rest/src/handle.rs
+++ b/crates/rest/src/handle.rs
@@ -17,7 +17,7 @@
 impl<H: Hooks> server::Handler for Served<H> {
     async fn answer(&self, request: Request<Incoming>, peer: std::net::SocketAddr) -> Response<Body> {
         let api = &self.0;
-        api.hooks.gate(request.headers()).await;
+        api.hooks.gate(request.method(), request.headers()).await;
         let (head, incoming) = request.into_parts();
         let method = head.method.as_str().to_owned();
         let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -98,7 +98,7 @@
         None
     }
     /// Waits as long as nothing may be answered to this caller, if it is cut off.
-    fn gate(&self, _headers: &hyper::HeaderMap) -> impl Future<Output = ()> + Send {
+    fn gate(&self, _method: &hyper::Method, _headers: &hyper::HeaderMap) -> impl Future<Output = ()> + Send {
         async {}
     }
     /// Told of each request and answer, for recordings.
--- a/crates/rig/src/checker/spread.rs
+++ b/crates/rig/src/checker/spread.rs
@@ -8,6 +8,8 @@
 struct Held {
     service: String,
     node: String,
+    /// Its edge was told that it is placed, by whatever the planner learned that from.
+    placed: bool,
 }
 
 pub(super) fn judge(traffic: &Traffic, rules: &Rules, report: &mut Report) {
@@ -31,7 +33,7 @@
         match line.what.as_str() {
             "send" => {
                 let (service, node) = (line.text("service").to_owned(), line.text("node").to_owned());
-                held.insert(key, Held { service: service.clone(), node: node.clone() });
+                held.insert(key, Held { service: service.clone(), node: node.clone(), placed: false });
                 let Some(class) =
                     rules.classes.get(line.text("class")).filter(|class| !class.spread.is_empty())
                 else {
@@ -49,9 +51,16 @@
                 }
             }
             "answer" if line.value.get("attempt").is_some() && line.text("said") != "accepted" => {
-                held.remove(&key);
+                if held.get(&key).is_some_and(|h| !h.placed) {
+                    held.remove(&key);
+                }
             }
             "tell" => {
+                if let Some(uid) = line.value["message"]["Placed"]["uid"].as_str()
+                    && let Some(h) = held.get_mut(&(line.who.clone(), uid.to_owned()))
+                {
+                    h.placed = true;
+                }
                 if let Some(uid) = line.value["message"]["Ended"]["uid"].as_str() {
                     held.remove(&(line.who.clone(), uid.to_owned()));
                 }
@@ -65,7 +74,7 @@
                     let text = |v: &serde_json::Value| v.as_str().unwrap_or("").to_owned();
                     let service = text(&message["InPlace"]["ask"]["service"]);
                     let node = text(&message["InPlace"]["node"]);
-                    held.insert((line.who.clone(), uid.to_owned()), Held { service, node });
+                    held.insert((line.who.clone(), uid.to_owned()), Held { service, node, placed: true });
                 }
             }
             // A planner that starts anew holds nothing.
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -46,6 +46,11 @@
         /// For this long.
         seconds: f64,
     },
+    /// Nobody can see what the node holds: its watches break, and no new one is answered.
+    Mute {
+        /// For this long.
+        seconds: f64,
+    },
     /// Programs kept on the node are lost.
     Flush,
     /// All open watches break.
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -194,6 +194,7 @@
     errors: (f64, f64),
     cut: (Vec<String>, f64),
     use_all: f64,
+    mute: f64,
 }
 
 /// The node.
@@ -245,6 +246,11 @@
         if now < self.troubles.cut.1 { &self.troubles.cut.0 } else { &[] }
     }
 
+    /// Whether nobody can see what it holds.
+    pub fn mute(&self, now: f64) -> bool {
+        now < self.troubles.mute
+    }
+
     /// Whether it was pushed over.
     pub fn fallen(&self) -> bool {
         self.fell
@@ -413,6 +419,10 @@
                 out.push(Action::BreakWatches);
             }
             Fault::UseAll { seconds } => self.troubles.use_all = now + seconds,
+            Fault::Mute { seconds } => {
+                self.troubles.mute = now + seconds;
+                out.push(Action::BreakWatches);
+            }
             Fault::Flush => self.kept.clear(),
             Fault::BreakWatches => out.push(Action::BreakWatches),
             Fault::SendAway { every } => self.send_away = Some((now, every)),
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -236,11 +236,12 @@
         NONE.get_or_init(|| self.priorities.keys().cloned().collect())
     }
 
-    async fn gate(&self, headers: &HeaderMap) {
+    async fn gate(&self, method: &hyper::Method, headers: &HeaderMap) {
         let zone = Self::zone_of(headers);
         let cut = {
             let inner = self.inner();
-            inner.model.fallen() || inner.model.cut_from(clock::now()).contains(&zone)
+            let mute = method == hyper::Method::GET && inner.model.mute(clock::now());
+            mute || inner.model.fallen() || inner.model.cut_from(clock::now()).contains(&zone)
         };
         if cut {
             std::future::pending::<()>().await;
