--- /dev/null
+++ b/crates/edge/tests/desk.rs
@@ -0,0 +1,195 @@
+//! The desk: one answer for each task, whatever planners do.
+
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use tidespur_api::task::Ask;
+use tidespur_edge::desk::*;
+use tidespur_link::{End, Found, ToEdge, ToPlanner};
+
+fn desk() -> Desk {
+    Desk::new(Settings { planner_most: 3, one_home: false, answer_slack: 0.05, locate_for: 1.0 })
+}
+
+fn ask(uid: &str) -> Ask {
+    Ask { uid: uid.into(), service: format!("s/{uid}"), ..Ask::default() }
+}
+
+fn step(desk: &mut Desk, now: f64, events: Vec<Event>) -> Vec<Action> {
+    let mut out = Vec::new();
+    desk.step(now, events, &mut out);
+    out
+}
+
+fn submit(uid: &str, deadline: f64) -> Event {
+    Event::Submit(ask(uid), deadline)
+}
+
+fn placed(uid: &str) -> ToEdge {
+    ToEdge::Placed { uid: uid.into(), node: "n1".into() }
+}
+
+#[test]
+fn tasks_of_a_lost_planner_fail_and_what_runs_goes_to_another() {
+    let mut desk = desk();
+    step(&mut desk, 0.0, vec![Event::PlannerUp(1), submit("a", 5.0), submit("b", 5.0)]);
+    step(&mut desk, 0.1, vec![Event::Said(1, placed("a")), Event::PlannerUp(2)]);
+    let out = step(&mut desk, 0.2, vec![Event::PlannerLost(1)]);
+    assert!(out.iter().any(|a| matches!(a, Action::Failed(uid, _) if uid == "b")), "{out:?}");
+    assert!(out.iter().any(
+        |a| matches!(a, Action::Tell(2, ToPlanner::InPlace { ask, node }) if ask.uid == "a" && node == "n1")
+    ));
+    let out =
+        step(&mut desk, 1.0, vec![Event::Said(2, ToEdge::Ended { uid: "a".into(), end: End::Succeeded })]);
+    assert_eq!(out, [Action::Ended("a".into(), End::Succeeded)]);
+}
+
+#[test]
+fn what_runs_waits_for_a_planner_where_there_is_none() {
+    let mut desk = desk();
+    step(&mut desk, 0.0, vec![Event::PlannerUp(1), submit("a", 5.0)]);
+    step(&mut desk, 0.1, vec![Event::Said(1, placed("a"))]);
+    assert_eq!(step(&mut desk, 0.2, vec![Event::PlannerLost(1)]), []);
+    let out = step(&mut desk, 9.0, vec![Event::PlannerUp(2)]);
+    assert!(matches!(&out[..], [Action::Tell(2, ToPlanner::InPlace { .. })]), "{out:?}");
+}
+
+#[test]
+fn a_planner_that_hangs_is_answered_for_and_its_late_placement_is_stopped() {
+    let mut desk = desk();
+    step(&mut desk, 0.0, vec![Event::PlannerUp(1), submit("a", 1.0)]);
+    assert_eq!(desk.next_wake(), Some(1.05));
+    let out = step(&mut desk, 1.05, vec![]);
+    assert!(matches!(&out[..], [Action::Tell(1, ToPlanner::Stop { .. }), Action::Failed(..)]), "{out:?}");
+    let out = step(&mut desk, 1.2, vec![Event::Said(1, placed("a"))]);
+    assert_eq!(out, [Action::Tell(1, ToPlanner::Stop { uid: "a".into() })]);
+}
+
+#[test]
+fn without_room_tasks_queue_and_are_refused_at_their_deadline() {
+    let mut desk = desk();
+    let events = (0..5).map(|i| submit(&format!("t{i}"), 2.0)).chain([Event::PlannerUp(1)]).collect();
+    let out = step(&mut desk, 0.0, events);
+    assert_eq!(out.len(), 3, "the planner holds three: {out:?}");
+    let out = step(&mut desk, 0.5, vec![Event::Said(1, placed("t0"))]);
+    assert!(
+        matches!(&out[1], Action::Tell(1, ToPlanner::Place(ask)) if ask.uid == "t3" && ask.within == Some(1.5))
+    );
+    let out = step(&mut desk, 2.0, vec![]);
+    assert!(matches!(&out[..], [Action::Refused(uid, _)] if uid == "t4"), "{out:?}");
+}
+
+#[test]
+fn a_task_is_nowhere_only_if_every_planner_is_sure() {
+    let located = |desk: &mut Desk, words: Vec<(u64, Found)>| {
+        let locate = Event::Locate { uid: "x".into(), tenant: "t".into(), name: "n".into() };
+        step(desk, 0.0, vec![Event::PlannerUp(1), Event::PlannerUp(2), locate]);
+        let said = |(p, found)| Event::Said(p, ToEdge::Located { uid: "x".into(), found });
+        step(desk, 0.1, words.into_iter().map(said).collect())
+    };
+    let at = Found::At("n1".into());
+    let both = located(&mut desk(), vec![(1, Found::Nowhere), (2, Found::Nowhere)]);
+    assert_eq!(both, [Action::Located("x".into(), Found::Nowhere)]);
+    assert_eq!(located(&mut desk(), vec![(1, at.clone())]), [Action::Located("x".into(), at)]);
+    let doubt = located(&mut desk(), vec![(1, Found::Unclear), (2, Found::Nowhere)]);
+    assert_eq!(doubt, [Action::Located("x".into(), Found::Unclear)]);
+    let mut silent = desk();
+    assert_eq!(located(&mut silent, vec![(1, Found::Nowhere)]), []);
+    assert_eq!(step(&mut silent, 1.0, vec![]), [Action::Located("x".into(), Found::Unclear)]);
+}
+
+#[derive(Clone, Debug)]
+enum Do {
+    Submit(u8),
+    Up(u8),
+    Lost(u8),
+    Answer(u8, u8, u8),
+    Cancel(u8),
+    Wait,
+}
+
+fn any_do() -> impl Strategy<Value = Do> {
+    prop_oneof![
+        (0u8..12).prop_map(Do::Submit),
+        (0u8..3).prop_map(Do::Up),
+        (0u8..3).prop_map(Do::Lost),
+        (0u8..3, 0u8..12, 0u8..4).prop_map(|(p, t, k)| Do::Answer(p, t, k)),
+        (0u8..12).prop_map(Do::Cancel),
+        Just(Do::Wait),
+    ]
+}
+
+proptest! {
+    /// Planners come, go, answer twice, late, or for what is not theirs: still one answer for each task, none
+    /// missing after its deadline, and each task with one planner at a time.
+    #[test]
+    fn one_answer_for_each_task(steps in proptest::collection::vec(any_do(), 1..80)) {
+        let mut desk = desk();
+        let mut answers: BTreeMap<String, usize> = BTreeMap::new();
+        let mut with: BTreeMap<String, u64> = BTreeMap::new();
+        let mut cancelled: Vec<String> = Vec::new();
+        let mut connections = [0u64; 3];
+        let (mut now, mut next, mut submitted) = (0.0, 0, BTreeMap::new());
+        let mut acts = |desk: &mut Desk, now: f64, events: Vec<Event>| {
+            for action in step(desk, now, events) {
+                match action {
+                    Action::Placed(uid, _) | Action::Refused(uid, _) | Action::Failed(uid, _) => {
+                        with.remove(&uid);
+                        *answers.entry(uid).or_default() += 1;
+                    }
+                    Action::Tell(planner, ToPlanner::Place(ask)) => {
+                        assert!(with.insert(ask.uid.clone(), planner).is_none(), "{} is with two", ask.uid);
+                    }
+                    _ => {}
+                }
+            }
+            answers.clone()
+        };
+        for one in steps {
+            now += 0.1;
+            let event = match one {
+                Do::Submit(t) => {
+                    let uid = format!("t{t}");
+                    if submitted.contains_key(&uid) {
+                        continue;
+                    }
+                    submitted.insert(uid.clone(), now + 1.0);
+                    submit(&uid, now + 1.0)
+                }
+                Do::Up(p) if connections[p as usize] == 0 => {
+                    next += 1;
+                    connections[p as usize] = next;
+                    Event::PlannerUp(next)
+                }
+                Do::Lost(p) if connections[p as usize] != 0 => {
+                    Event::PlannerLost(std::mem::take(&mut connections[p as usize]))
+                }
+                Do::Answer(p, t, kind) if connections[p as usize] != 0 => {
+                    let uid = format!("t{t}");
+                    let message = match kind {
+                        0 => placed(&uid),
+                        1 => ToEdge::Refused { uid, why: String::new(), retry_in: 0.0 },
+                        2 => ToEdge::Failed { uid, why: String::new() },
+                        _ => ToEdge::Ended { uid, end: End::Succeeded },
+                    };
+                    Event::Said(connections[p as usize], message)
+                }
+                Do::Cancel(t) => {
+                    cancelled.push(format!("t{t}"));
+                    Event::Cancel(format!("t{t}"))
+                }
+                _ => {
+                    acts(&mut desk, now, vec![]);
+                    continue;
+                }
+            };
+            acts(&mut desk, now, vec![event]);
+        }
+        let answers = acts(&mut desk, now + 10.0, vec![]);
+        for uid in submitted.keys() {
+            let count = answers.get(uid).copied().unwrap_or(0);
+            let withdrawn = cancelled.contains(uid);
+            prop_assert!(count == 1 || (count == 0 && withdrawn), "{} has {} answers", uid, count);
+        }
+        prop_assert_eq!(desk.open(), 0);
+    }
+}
--- a/crates/rest/src/verbs.rs
+++ b/crates/rest/src/verbs.rs
@@ -16,6 +16,12 @@
 const PATCH_TRIES: usize = 5;
 
 impl<H: Hooks> Api<H> {
+    /// Tells the program of a write, and all watches: the program may have nothing to add to it.
+    fn after_write(&self) {
+        self.hooks.written();
+        self.ring();
+    }
+
     pub(crate) fn get(&self, target: &Target) -> Answer {
         let store = self.store();
         let found = find(&store, target)?;
@@ -116,7 +122,7 @@
         }
         let made = store.create(r, object, clock::now())?;
         drop(store);
-        self.hooks.written();
+        self.after_write();
         Ok((201, (*made).clone(), warnings))
     }
 
@@ -225,7 +231,7 @@
             return done.map(|object| (200, object, warnings));
         }
         let written = self.store().update(r, object, expect)?;
-        self.hooks.written();
+        self.after_write();
         Ok((200, (*written).clone(), warnings))
     }
 
@@ -246,7 +252,7 @@
             return done.map(|object| (200, object, vec![]));
         }
         let gone = self.hooks.delete(&mut self.store(), target.resource, &object, &how)?;
-        self.hooks.written();
+        self.after_write();
         let done = match target.resource.kind {
             // Clients wait for these by what comes back: the object as it went.
             "Pod" | "Namespace" => gone,
@@ -279,7 +285,7 @@
         }
         let version = store.version().to_string();
         drop(store);
-        self.hooks.written();
+        self.after_write();
         let kind = format!("{}List", target.resource.kind);
         let api = target.resource.api_version();
         let list =
