--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -52,6 +52,8 @@
     Drain(commands::DrainOptions),
     /// Play a scripted bad day through real processes and judge the rules from the traffic
     Badday(badday::BadDayOptions),
+    /// Measure the whole path through sockets on this machine
+    Measure(up::MeasureOptions),
     /// Check a settings file
     CheckConfig(commands::CheckOptions),
     /// Write completions for a shell
@@ -85,6 +87,7 @@
             Ok(false) => return ExitCode::FAILURE,
             Err(problem) => Err(problem),
         },
+        Command::Measure(options) => up::measure(options),
         Command::Apply(options) => commands::apply(&target, options),
         Command::Get(options) => commands::get(&target, options),
         Command::Describe(options) => commands::describe(&target, options),
--- a/crates/cli/src/up.rs
+++ b/crates/cli/src/up.rs
@@ -94,6 +94,31 @@
     seed: u64,
 }
 
+#[derive(Args)]
+pub struct MeasureOptions {
+    /// Stand-in nodes
+    #[arg(long, default_value_t = 16)]
+    nodes: usize,
+    /// Planners
+    #[arg(long, default_value_t = 3)]
+    planners: usize,
+    /// Idle watchers for the fan-out; each needs a file descriptor here and at the edge
+    #[arg(long, default_value_t = 1000)]
+    watchers: usize,
+    /// Pods that each client places
+    #[arg(long, default_value_t = 100)]
+    each: usize,
+}
+
+pub fn measure(options: MeasureOptions) -> Result<(), String> {
+    let scratch = tempfile::tempdir().map_err(|e| e.to_string())?;
+    let mut layout = layout(options.nodes, options.planners, 1)?;
+    layout.logs = Some(scratch.path().join("logs"));
+    let figures = tidespur_rig::measure::measure(layout, options.watchers.max(1), options.each.max(1))?;
+    println!("{}", serde_json::to_string_pretty(&figures).map_err(|e| e.to_string())?);
+    Ok(())
+}
+
 /// The demo's day.
 const MORNING: &str = include_str!("../../../scenarios/morning.hcl");
 
--- a/crates/edge/src/desk.rs
+++ b/crates/edge/src/desk.rs
@@ -317,7 +317,7 @@
             if now >= task.deadline {
                 continue;
             }
-            let Some(planner) = self.choose(&task.ask.service) else {
+            let Some(planner) = self.choose(&task.ask.service, &uid) else {
                 kept.push_back(uid);
                 if self.planners.is_empty() || !self.settings.one_home {
                     // None has room for this one, so none has for the next.
@@ -337,7 +337,9 @@
     }
 
     /// The planner for a task: the service's home where services have one, else the one with the fewest open tasks.
-    fn choose(&self, service: &str) -> Option<PlannerId> {
+    /// Equal ones are taken in turn by a hash, so that at low load all see some traffic and no one's part of what
+    /// cold nodes bear is spent alone.
+    fn choose(&self, service: &str, uid: &str) -> Option<PlannerId> {
         let room = |p: &&Planner| p.open < self.settings.planner_most;
         if self.settings.one_home {
             // Rendezvous hashing: a service moves only when its own home comes or goes.
@@ -345,7 +347,7 @@
             return Some(*home.0).filter(|_| room(&home.1));
         }
         let open = self.planners.iter().filter(|(_, p)| room(p));
-        open.min_by_key(|(id, p)| (p.open, **id)).map(|(id, _)| *id)
+        open.min_by_key(|(id, p)| (p.open, rank(uid, **id))).map(|(id, _)| *id)
     }
 
     /// Finds a planner that tells of a task that runs.
--- a/crates/planner/src/nodes.rs
+++ b/crates/planner/src/nodes.rs
@@ -82,7 +82,7 @@
                 _ => {}
             }
             // One that has left the list and stays silent counts as gone, with what it held.
-            unclear |= node.listed && node.standing != Standing::Dead && node.heard < since;
+            unclear |= node.listed && node.standing != Standing::Dead && node.heard <= since;
         }
         match ended {
             Some(End::Succeeded) => Found::Ended(End::Succeeded),
--- /dev/null
+++ b/crates/planner/tests/core.rs
@@ -0,0 +1,252 @@
+//! The planner's core: each task to its one answer, whatever nodes, register and edges do.
+
+use serde_json::{Value, json};
+use tidespur_api::task::Ask;
+use tidespur_config::{Config, DEFAULT, parse};
+use tidespur_link::{End, Found, ToEdge, ToPlanner};
+use tidespur_planner::core::{Answer, Core, Input, Output};
+use tidespur_policy::interface::{Ending, Why};
+
+fn config() -> Config {
+    parse("built-in", DEFAULT).unwrap()
+}
+
+fn node(name: &str) -> Value {
+    json!({"metadata": {"name": name,
+        "labels": {"node.kubernetes.io/instance-type": "std-24", "topology.kubernetes.io/zone": "halle-a",
+            "topology.tidespur.dev/rack": name},
+        "annotations": {"node.tidespur.dev/address": format!("{name}:1"), "node.tidespur.dev/free-cores": "24",
+            "node.tidespur.dev/free-memory": "48"}},
+        "status": {"allocatable": {"cpu": "24", "memory": "48Gi"}}})
+}
+
+fn pod(uid: &str, name: &str, phase: &str, reason: &str) -> Value {
+    json!({"metadata": {"name": name, "namespace": "default", "uid": format!("at-node-{uid}"),
+        "annotations": {"placement.tidespur.dev/uid": uid}}, "status": {"phase": phase, "reason": reason}})
+}
+
+fn ask(uid: &str, class: &str) -> Ask {
+    Ask {
+        uid: uid.into(),
+        tenant: "default".into(),
+        name: format!("pod-{uid}"),
+        service: format!("default/{uid}"),
+        class: class.into(),
+        cores: 1.0,
+        memory: 2.0,
+        within: Some(2.0),
+        ..Ask::default()
+    }
+}
+
+struct World {
+    core: Core,
+    now: f64,
+}
+
+impl World {
+    /// A planner that knows these nodes and hears from them.
+    fn new(nodes: &[&str]) -> Self {
+        let mut world = World { core: Core::new(config(), 0, "halle-a", 1).unwrap(), now: 100.0 };
+        let out = world.step(vec![Input::Tick]);
+        assert!(out.contains(&Output::Subscribe));
+        world.step(vec![Input::ListWhole(nodes.iter().map(|n| node(n)).collect())]);
+        world.step(nodes.iter().map(|n| Input::NodeHolds((*n).to_owned(), vec![])).collect());
+        world
+    }
+
+    fn step(&mut self, inputs: Vec<Input>) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.core.step(self.now, inputs, &mut out);
+        out
+    }
+
+    fn place(&mut self, uid: &str, class: &str) -> Vec<Output> {
+        self.step(vec![Input::Edge(1, ToPlanner::Place(ask(uid, class)))])
+    }
+
+    /// Lets time pass in small steps until it is so, with the timers that are due.
+    fn until<T>(&mut self, most: f64, holds: impl Fn(&Output) -> Option<T>) -> Option<T> {
+        let end = self.now + most;
+        while self.now < end {
+            self.now += 0.05;
+            if let Some(found) = self.step(vec![Input::Timer(0)]).iter().find_map(&holds) {
+                return Some(found);
+            }
+        }
+        None
+    }
+}
+
+fn offer(out: &[Output]) -> Option<(tidespur_policy::interface::TaskId, u32, String)> {
+    out.iter().find_map(as_offer)
+}
+
+fn as_offer(out: &Output) -> Option<(tidespur_policy::interface::TaskId, u32, String)> {
+    match out {
+        Output::Offer { task, attempt, node, .. } => Some((*task, *attempt, node.clone())),
+        _ => None,
+    }
+}
+
+fn told(out: &[Output]) -> Vec<ToEdge> {
+    out.iter()
+        .filter_map(|o| if let Output::Edge(_, message) = o { Some(message.clone()) } else { None })
+        .collect()
+}
+
+#[test]
+fn a_task_is_placed_runs_and_ends() {
+    let mut world = World::new(&["n1", "n2"]);
+    let (task, attempt, at) = offer(&world.place("u", "termin-web")).unwrap();
+    let out = world.step(vec![Input::Answered { task, attempt, answer: Answer::Accepted(None) }]);
+    assert_eq!(told(&out), [ToEdge::Placed { uid: "u".into(), node: at.clone() }]);
+    let out = world.step(vec![Input::NodePod(at.clone(), pod("u", "pod-u", "Running", ""), false)]);
+    assert_eq!(told(&out), [ToEdge::Runs { uid: "u".into() }]);
+    let out = world.step(vec![Input::NodePod(at.clone(), pod("u", "pod-u", "Succeeded", ""), false)]);
+    assert_eq!(told(&out), [ToEdge::Ended { uid: "u".into(), end: End::Succeeded }]);
+    assert_eq!(world.core.tasks(), 0);
+}
+
+#[test]
+fn a_lost_answer_is_known_by_the_nodes_watch_and_its_time_out_means_nothing_then() {
+    let mut world = World::new(&["n1"]);
+    let (task, attempt, at) = offer(&world.place("u", "slot-abgleich")).unwrap();
+    let out = world.step(vec![Input::NodePod(at.clone(), pod("u", "pod-u", "Pending", ""), false)]);
+    assert_eq!(told(&out), [ToEdge::Placed { uid: "u".into(), node: at }]);
+    let late = Answer::Ended(Ending::Late, "no answer in time".into(), None);
+    assert_eq!(told(&world.step(vec![Input::Answered { task, attempt, answer: late }])), []);
+}
+
+#[test]
+fn an_unsafe_task_that_may_have_run_fails_and_is_not_sent_again() {
+    let mut world = World::new(&["n1", "n2"]);
+    let (task, attempt, _) = offer(&world.place("u", "slot-abgleich")).unwrap();
+    let broken = Answer::Ended(Ending::Broken(Why::Unknown), "reset".into(), None);
+    let out = world.step(vec![Input::Answered { task, attempt, answer: broken }]);
+    assert_eq!(offer(&out), None);
+    let later = world.until(3.0, |o| match o {
+        Output::Edge(_, message) => Some(message.clone()),
+        Output::Offer { .. } => panic!("sent again"),
+        _ => None,
+    });
+    let said = told(&out).pop().or(later);
+    assert!(matches!(said, Some(ToEdge::Failed { uid, .. }) if uid == "u"));
+}
+
+#[test]
+fn a_copy_of_a_safe_task_that_turns_up_elsewhere_is_deleted() {
+    let mut world = World::new(&["n1", "n2", "n3"]);
+    let (task, attempt, first) = offer(&world.place("u", "termin-web")).unwrap();
+    let late = Answer::Ended(Ending::Late, "no answer in time".into(), None);
+    let out = world.step(vec![Input::Answered { task, attempt, answer: late }]);
+    let (_, attempt, second) = offer(&out).or_else(|| world.until(1.0, as_offer)).unwrap();
+    if first != second {
+        world.step(vec![Input::Answered { task, attempt, answer: Answer::Accepted(None) }]);
+        let out = world.step(vec![Input::NodePod(first.clone(), pod("u", "pod-u", "Pending", ""), false)]);
+        let deleted =
+            |o: &Output| matches!(o, Output::Delete { address, .. } if *address == format!("{first}:1"));
+        assert!(out.iter().any(deleted), "{out:?}");
+    }
+}
+
+#[test]
+fn what_a_dead_node_held_is_lost_and_what_a_silent_one_holds_is_not() {
+    let mut world = World::new(&["n1"]);
+    let (task, attempt, at) = offer(&world.place("u", "termin-web")).unwrap();
+    world.step(vec![Input::Answered { task, attempt, answer: Answer::Accepted(None) }]);
+    world.step(vec![Input::NodePod(at.clone(), pod("u", "pod-u", "Running", ""), false)]);
+    assert_eq!(told(&world.step(vec![Input::NodeDown(at.clone(), false)])), []);
+    let out = world.step(vec![Input::NodeDown(at, true)]);
+    assert_eq!(told(&out), [ToEdge::Ended { uid: "u".into(), end: End::Lost }]);
+}
+
+#[test]
+fn a_node_that_comes_back_empty_has_lost_its_tasks() {
+    let mut world = World::new(&["n1"]);
+    let (task, attempt, at) = offer(&world.place("u", "termin-web")).unwrap();
+    world.step(vec![Input::Answered { task, attempt, answer: Answer::Accepted(None) }]);
+    let out = world.step(vec![Input::NodeHolds(at, vec![])]);
+    assert_eq!(told(&out), [ToEdge::Ended { uid: "u".into(), end: End::Lost }]);
+}
+
+#[test]
+fn a_list_that_flaps_does_not_end_what_is_heard_to_run() {
+    let mut world = World::new(&["n1"]);
+    let (task, attempt, at) = offer(&world.place("u", "termin-web")).unwrap();
+    world.step(vec![Input::Answered { task, attempt, answer: Answer::Accepted(None) }]);
+    world.step(vec![Input::NodePod(at.clone(), pod("u", "pod-u", "Running", ""), false)]);
+    assert_eq!(told(&world.step(vec![Input::ListChange(node(&at), true)])), []);
+    world.now += 10.0;
+    let out = world.step(vec![Input::ListChange(node(&at), true)]);
+    assert_eq!(told(&out), [ToEdge::Ended { uid: "u".into(), end: End::Lost }], "silent and unlisted");
+}
+
+#[test]
+fn nothing_goes_to_a_node_that_drains() {
+    let mut world = World::new(&["n1"]);
+    let mut drains = node("n1");
+    drains["spec"] = json!({"unschedulable": true});
+    world.step(vec![Input::ListChange(drains, false)]);
+    assert_eq!(offer(&world.place("u", "termin-web")), None);
+    let said =
+        world.until(3.0, |o| if let Output::Edge(_, message) = o { Some(message.clone()) } else { None });
+    assert!(matches!(said, Some(ToEdge::Refused { .. })));
+}
+
+#[test]
+fn a_task_that_is_not_wanted_while_its_offer_is_out_is_deleted_once_accepted() {
+    let mut world = World::new(&["n1"]);
+    let (task, attempt, _) = offer(&world.place("u", "termin-web")).unwrap();
+    world.step(vec![Input::Edge(1, ToPlanner::Stop { uid: "u".into() })]);
+    let out = world.step(vec![Input::Answered { task, attempt, answer: Answer::Accepted(None) }]);
+    assert!(out.iter().any(|o| matches!(o, Output::Delete { .. })), "{out:?}");
+    assert_eq!(told(&out), [], "its owner is not told of what it gave up");
+}
+
+#[test]
+fn an_edge_that_is_lost_leaves_nothing_to_send_and_lets_run_what_runs() {
+    let mut world = World::new(&["n1"]);
+    let (task, attempt, _) = offer(&world.place("a", "termin-web")).unwrap();
+    world.step(vec![Input::Answered { task, attempt, answer: Answer::Accepted(None) }]);
+    let (task, attempt, _) = offer(&world.place("b", "termin-web")).unwrap();
+    let out = world.step(vec![Input::EdgeLost(1)]);
+    assert!(!out.iter().any(|o| matches!(o, Output::Delete { .. })));
+    let late = Answer::Ended(Ending::Late, String::new(), None);
+    let out = world.step(vec![Input::Answered { task, attempt, answer: late }]);
+    assert_eq!(offer(&out), None);
+    assert_eq!(world.core.tasks(), 1, "the one that runs");
+}
+
+#[test]
+fn where_a_task_is_takes_a_word_from_every_node_after_the_question() {
+    let mut world = World::new(&["n1", "n2"]);
+    let locate = |uid: &str| {
+        Input::Edge(
+            1,
+            ToPlanner::Locate { uid: uid.into(), tenant: "default".into(), name: format!("pod-{uid}") },
+        )
+    };
+    world.now += 1.0;
+    assert_eq!(told(&world.step(vec![locate("u")])), [], "both were last heard before");
+    world.now += 0.1;
+    assert_eq!(told(&world.step(vec![Input::NodeHeard("n1".into())])), []);
+    let out = world.step(vec![Input::NodeDown("n2".into(), true)]);
+    assert_eq!(told(&out), [ToEdge::Located { uid: "u".into(), found: Found::Nowhere }]);
+    world.step(vec![Input::NodePod("n1".into(), pod("v", "pod-v", "Running", ""), false)]);
+    let out = world.step(vec![locate("v")]);
+    assert_eq!(told(&out), [ToEdge::Located { uid: "v".into(), found: Found::At("n1".into()) }]);
+    world.step(vec![Input::NodeDown("n1".into(), false), locate("w")]);
+    world.now += 2.0;
+    assert_eq!(
+        told(&world.step(vec![Input::Tick])),
+        [ToEdge::Located { uid: "w".into(), found: Found::Unclear }]
+    );
+}
+
+#[test]
+fn a_class_that_the_planner_does_not_know_is_refused_by_name() {
+    let mut world = World::new(&["n1"]);
+    let said = told(&world.place("u", "odd"));
+    assert!(matches!(&said[..], [ToEdge::Refused { why, .. }] if why.contains("\"odd\"")), "{said:?}");
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod checker;
 pub mod cluster;
+pub mod measure;
 pub mod play;
 pub mod process;
 pub mod scenario;
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -17,6 +17,8 @@
 pub const UNTIL_HEADER: &str = "x-tidespur-until";
 /// Ended Pods stay visible for this long.
 const ENDED_KEPT: f64 = 15.0;
+/// A node that starts warm counts as up for this long.
+const LONG_UP: f64 = 3600.0;
 /// Watches hear at least this often that the node lives.
 const HEARTBEAT: f64 = 0.4;
 
@@ -378,6 +380,8 @@
     up_since: f64,
 ) {
     let client = Client::new(register, 1, vec![]);
+    // One that is not cold has been up for long, whenever its process was started.
+    let up_since = if set.cold > 0.0 { up_since } else { up_since - LONG_UP };
     loop {
         let (cores, memory) = api.hooks.inner().model.unclaimed();
         let fallen = api.hooks.inner().model.fallen();
