--- a/crates/rig/src/checker/spread.rs
+++ b/crates/rig/src/checker/spread.rs
@@ -51,9 +51,7 @@
                 }
             }
             "answer" if line.value.get("attempt").is_some() && line.text("said") != "accepted" => {
-                if held.get(&key).is_some_and(|h| !h.placed) {
-                    held.remove(&key);
-                }
+                held.retain(|k, h| *k != key || h.placed);
             }
             "tell" => {
                 if let Some(uid) = line.value["message"]["Placed"]["uid"].as_str()
