One keeper of links and one follower of lists for edge and planner; output ends quietly at a closed pipe

Cause: both programs held the same loop for heartbeat, reading and writing of a link, and for list and watch of the register; get panicked when its reader closed the pipe. Both loops stand once in net now.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! Operators' commands against an edge's API.
 
 use crate::client::Target;
+use crate::show::say;
 use crate::{children, show};
 use clap::{Args, ValueEnum};
 use hyper::Method;
@@ -147,7 +148,7 @@
                 Err(e) => return Err(format!("{}/{}: {}", r.singular, meta::name(&object), e.text)),
             };
             let dry = if options.dry_run { " (dry run)" } else { "" };
-            println!("{}/{} {verb}{dry}", r.singular, meta::name(&done));
+            say!("{}/{} {verb}{dry}", r.singular, meta::name(&done));
         }
         Ok(())
     })
@@ -169,10 +170,10 @@
         };
         let wide = options.output == Output::Wide;
         match options.output {
-            Output::Json => println!("{}", serde_json::to_string_pretty(&found).unwrap_or_default()),
-            Output::Yaml => print!("{}", serde_yaml_ng::to_string(&found).unwrap_or_default()),
-            _ if items.is_empty() && !options.watch => println!("none found"),
-            _ => println!("{}", show::table(r, &items, wide)),
+            Output::Json => say!("{}", serde_json::to_string_pretty(&found).unwrap_or_default()),
+            Output::Yaml => say!("{}", serde_yaml_ng::to_string(&found).unwrap_or_default()),
+            _ if items.is_empty() && !options.watch => say!("none found"),
+            _ => say!("{}", show::table(r, &items, wide)),
         }
         if !options.watch {
             return Ok(());
@@ -187,9 +188,9 @@
             let object = &event["object"];
             match (event["type"].as_str().unwrap_or(""), options.output) {
                 ("ERROR", _) => return Err(meta::text(object, &["message"]).to_owned()),
-                (_, Output::Json) => println!("{event}"),
-                (_, Output::Yaml) => print!("---\n{}", serde_yaml_ng::to_string(&event).unwrap_or_default()),
-                (kind, _) => println!("{kind:<9}{}", show::row(r, object, wide).join("  ")),
+                (_, Output::Json) => say!("{event}"),
+                (_, Output::Yaml) => say!("---\n{}", serde_yaml_ng::to_string(&event).unwrap_or_default()),
+                (kind, _) => say!("{kind:<9}{}", show::row(r, object, wide).join("  ")),
             }
         }
         Ok(())
@@ -211,26 +212,26 @@
         if let Some(metadata) = object["metadata"].as_object_mut() {
             metadata.remove("managedFields");
         }
-        print!("{}", serde_yaml_ng::to_string(&object).unwrap_or_default());
+        say!("{}", serde_yaml_ng::to_string(&object).unwrap_or_default());
         if r.kind == "Job" {
             let query = format!(
                 "?labelSelector={}",
                 encode(&format!("{}={}", tidespur_api::names::JOB_NAME, options.name))
             );
             let pods = target.get(PODS, "", &query).await?;
-            println!("\n{}", show::table(PODS, pods["items"].as_array().map_or(&[], Vec::as_slice), true));
+            say!("\n{}", show::table(PODS, pods["items"].as_array().map_or(&[], Vec::as_slice), true));
         }
         if r.kind == "Node" {
             let query = format!("?fieldSelector={}", encode(&format!("spec.nodeName={}", options.name)));
             let pods = target.call(Method::GET, &format!("{}{query}", PODS.path("", "")), "", None).await?;
-            println!("\n{}", show::table(PODS, pods["items"].as_array().map_or(&[], Vec::as_slice), true));
+            say!("\n{}", show::table(PODS, pods["items"].as_array().map_or(&[], Vec::as_slice), true));
         }
         let query =
             format!("?fieldSelector={}", encode(&format!("involvedObject.uid={}", meta::uid(&object))));
         let events = target.get(EVENTS, "", &query).await?;
         let events = events["items"].as_array().cloned().unwrap_or_default();
         if !events.is_empty() {
-            println!("\n{}", show::table(EVENTS, &events, false));
+            say!("\n{}", show::table(EVENTS, &events, false));
         }
         Ok(())
     })
@@ -246,7 +247,7 @@
         let path = r.path(target.space(r), &options.name);
         let body = json!({"kind": "DeleteOptions", "apiVersion": "v1", "propagationPolicy": how});
         target.call(Method::DELETE, &path, "application/json", Some(&body)).await?;
-        println!("{}/{} deleted", r.singular, options.name);
+        say!("{}/{} deleted", r.singular, options.name);
         Ok(())
     })
 }
@@ -256,7 +257,7 @@
         let body = json!({"spec": {"unschedulable": on}});
         let path = NODES.path("", node);
         target.call(Method::PATCH, &path, "application/merge-patch+json", Some(&body)).await?;
-        println!("node/{node} {}", if on { "cordoned" } else { "uncordoned" });
+        say!("node/{node} {}", if on { "cordoned" } else { "uncordoned" });
         Ok(())
     })
 }
@@ -273,7 +274,7 @@
             let over = |pod: &Value| matches!(meta::text(pod, &["status", "phase"]), "Succeeded" | "Failed");
             let left: Vec<&Value> = items.iter().filter(|pod| !over(pod)).collect();
             if left.is_empty() {
-                println!("node/{} drained", options.node);
+                say!("node/{} drained", options.node);
                 return Ok(());
             }
             if clock::now() > until {
@@ -283,7 +284,7 @@
                 let path = PODS.path(meta::namespace(pod), meta::name(pod));
                 let body = json!({"preconditions": {"uid": meta::uid(pod)}});
                 match target.call(Method::DELETE, &path, "application/json", Some(&body)).await {
-                    Ok(_) => println!("pod/{} evicted", meta::name(pod)),
+                    Ok(_) => say!("pod/{} evicted", meta::name(pod)),
                     Err(e) if e.code == 404 || e.code == 409 => {}
                     Err(e) => return Err(e.text),
                 }
@@ -296,11 +297,6 @@
 pub fn check_config(options: CheckOptions) -> Result<(), String> {
     let config = children::config(Some(&options.file))?;
     config.policy(0, 0).check().map_err(|e| e.to_string())?;
-    println!(
-        "{}: good ({} classes, {} kinds)",
-        options.file.display(),
-        config.class.len(),
-        config.kind.len()
-    );
+    say!("{}: good ({} classes, {} kinds)", options.file.display(), config.class.len(), config.kind.len());
     Ok(())
 }
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -5,6 +5,17 @@
 use tidespur_api::{Resource, meta, names};
 use tidespur_net::clock;
 
+/// Prints a line; a reader that has seen enough, as `head` has, ends the program without complaint.
+macro_rules! say {
+    ($($part:tt)*) => {{
+        use std::io::Write;
+        if writeln!(std::io::stdout(), $($part)*).is_err() {
+            std::process::exit(0);
+        }
+    }};
+}
+pub(crate) use say;
+
 fn age(object: &Value) -> String {
     let Some(made) = meta::unix(meta::text(object, &["metadata", "creationTimestamp"])) else {
         return "?".into();
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -4,17 +4,16 @@
 use crate::desk::PlannerId;
 use crate::hooks::EdgeHooks;
 use async_channel::{Receiver, Sender};
-use hyper::Method;
-use serde_json::{Value, json};
+use serde_json::json;
 use smol::net::{TcpListener, TcpStream};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use tidespur_api::meta;
 use tidespur_api::resource::NAMESPACES;
 use tidespur_config::Config;
-use tidespur_link::{Liveness, ToEdge, ToPlanner};
+use tidespur_link::{ToEdge, ToPlanner};
+use tidespur_net::follow::{Followed, follow};
 use tidespur_net::{Client, Recorder, clock, frames, server};
 use tidespur_rest::{Api, Limits, Served};
 use tidespur_store::Store;
@@ -202,33 +201,15 @@
         send.try_send(ToPlanner::Welcome { edge: self.options.name.clone() }).map_err(|e| e.to_string())?;
         self.planners.lock().map_err(|e| e.to_string())?.insert(id, send.clone());
         self.inputs.send(Input::PlannerUp(id)).await.map_err(|e| e.to_string())?;
-        let life = Mutex::new(Liveness::new(patience / 4.0, patience, clock::now()));
-        let reading = async {
-            while let Some(message) = reader.next::<ToEdge>().await? {
-                if let Ok(mut life) = life.lock() {
-                    life.heard(clock::now());
-                }
-                if message != ToEdge::Ping {
-                    self.recorder
-                        .note("planner", || json!({"planner": planner, "message": format!("{message:?}")}));
-                    self.inputs.send(Input::Said(id, message)).await.map_err(|e| e.to_string())?;
-                }
-            }
-            Ok(())
-        };
-        let beating = async {
-            loop {
-                clock::sleep(patience / 4.0).await;
-                if life.lock().is_ok_and(|life| life.lost(clock::now())) {
-                    return Err("silence".to_owned());
-                }
-                send.try_send(ToPlanner::Ping).map_err(|e| e.to_string())?;
+        let read = |message| {
+            if message == ToEdge::Ping {
+                return None;
             }
+            self.recorder.note("planner", || json!({"planner": planner, "message": format!("{message:?}")}));
+            Some(Input::Said(id, message))
         };
-        let writing = frames::write_all(socket.clone(), queue);
-        let ended = futures_lite::future::or(reading, futures_lite::future::or(beating, writing)).await;
-        let _ = socket.shutdown(std::net::Shutdown::Both);
-        ended
+        let link = frames::Link { queue, send, ping: ToPlanner::Ping };
+        frames::keep(socket, reader, link, patience, read, &self.inputs).await
     }
 
     async fn follow_register(self: Arc<Self>) {
@@ -241,34 +222,10 @@
 
     async fn watch_register(&self) -> String {
         let client = Client::new(&self.options.register, 2, vec![]);
-        let list = match client.send(Method::GET, "/api/v1/nodes", "", bytes::Bytes::new(), 2.0).await {
-            Ok(reply) if reply.status.is_success() => reply.json(),
-            Ok(reply) => return format!("the list: status {}", reply.status),
-            Err(problem) => return format!("the list: {problem}"),
+        let read = |followed| match followed {
+            Followed::Whole(nodes) => Input::Nodes(nodes),
+            Followed::Change(node, deleted) => Input::Node(node, deleted),
         };
-        let items = list["items"].as_array().cloned().unwrap_or_default();
-        let _ = self.inputs.send(Input::Nodes(items)).await;
-        let version = meta::text(&list, &["metadata", "resourceVersion"]);
-        let path = format!("/api/v1/nodes?watch=true&allowWatchBookmarks=true&resourceVersion={version}");
-        let mut lines = match client.lines(&path, 2.0).await {
-            Ok(lines) => lines,
-            Err(problem) => return format!("the watch: {problem}"),
-        };
-        loop {
-            let line = match clock::within(SILENCE, lines.next()).await {
-                None => return "silence".into(),
-                Some(Ok(Some(line))) => line,
-                Some(Ok(None)) => return "it ended".into(),
-                Some(Err(problem)) => return problem.to_string(),
-            };
-            let Ok(mut event) = serde_json::from_slice::<Value>(&line) else { return "no JSON".into() };
-            let object = event["object"].take();
-            match event["type"].as_str() {
-                Some("BOOKMARK") => {}
-                Some("ADDED" | "MODIFIED") => drop(self.inputs.send(Input::Node(object, false)).await),
-                Some("DELETED") => drop(self.inputs.send(Input::Node(object, true)).await),
-                _ => return "an error of the register".into(),
-            }
-        }
+        follow(&client, "/api/v1/nodes", 2.0, SILENCE, read, &self.inputs).await
     }
 }
--- a/crates/net/src/frames.rs
+++ b/crates/net/src/frames.rs
@@ -1,9 +1,11 @@
 //! The link's frames on a socket.
 
+use crate::clock;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde::{Serialize, de::DeserializeOwned};
 use smol::net::TcpStream;
-use tidespur_link::{Decoder, FrameError, encode};
+use std::sync::Mutex;
+use tidespur_link::{Decoder, FrameError, Liveness, encode};
 
 /// Reads frames until the socket ends; `Err` says why it can't go on.
 pub struct FrameReader {
@@ -50,3 +52,52 @@
     }
     socket.flush().await.map_err(|e| e.to_string())
 }
+
+/// The sending side of a link.
+pub struct Link<Out> {
+    /// What waits to go out.
+    pub queue: async_channel::Receiver<Out>,
+    /// Where it is put.
+    pub send: async_channel::Sender<Out>,
+    /// Says only that this end lives.
+    pub ping: Out,
+}
+
+/// Keeps a link going until either end is lost: what comes goes to `to` as `read` puts it, what waits in `queue` goes out, and `ping`
+/// goes out often enough for the peer's patience. Says why it ended.
+pub async fn keep<In: DeserializeOwned + Send, Out: Serialize + Clone + Send, T: Send>(
+    socket: TcpStream,
+    mut reader: FrameReader,
+    link: Link<Out>,
+    patience: f64,
+    read: impl Fn(In) -> Option<T> + Send,
+    to: &async_channel::Sender<T>,
+) -> Result<(), String> {
+    let Link { queue, send, ping } = link;
+    let life = Mutex::new(Liveness::new(patience / 4.0, patience, clock::now()));
+    let reading = async {
+        while let Some(message) = reader.next::<In>().await? {
+            if let Ok(mut life) = life.lock() {
+                life.heard(clock::now());
+            }
+            if let Some(input) = read(message) {
+                to.send(input).await.map_err(|e| e.to_string())?;
+            }
+        }
+        Ok(())
+    };
+    let beating = async {
+        loop {
+            clock::sleep(patience / 4.0).await;
+            if life.lock().is_ok_and(|life| life.lost(clock::now())) {
+                return Err("silence".to_owned());
+            }
+            send.try_send(ping.clone()).map_err(|e| e.to_string())?;
+        }
+    };
+    let writing = write_all(socket.clone(), queue);
+    let ended = futures_lite::future::or(reading, futures_lite::future::or(beating, writing)).await;
+    // Closed already where the peer was faster.
+    let _ = socket.shutdown(std::net::Shutdown::Both);
+    ended
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod client;
 pub mod clock;
+pub mod follow;
 pub mod frames;
 pub mod record;
 pub mod server;
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -12,7 +12,8 @@
 use tidespur_api::task::Ask;
 use tidespur_api::{Object, meta, names};
 use tidespur_config::Config;
-use tidespur_link::{Liveness, ToEdge, ToPlanner};
+use tidespur_link::{ToEdge, ToPlanner};
+use tidespur_net::follow::{Followed, follow};
 use tidespur_net::{Client, NetError, Recorder, clock, frames};
 use tidespur_policy::interface::{Ending, Why};
 
@@ -300,42 +301,20 @@
     /// One list and the watch after it; says why it ended.
     async fn watch_register(&self) -> String {
         let client = self.client(&self.options.register);
-        let listed = client.send(Method::GET, "/api/v1/nodes", "", bytes::Bytes::new(), HEAD_WITHIN).await;
-        let list = match listed {
-            Ok(reply) if reply.status.is_success() => reply.json(),
-            Ok(reply) => return format!("the list: status {}", reply.status),
-            Err(problem) => return format!("the list: {problem}"),
-        };
-        let items = list["items"].as_array().cloned().unwrap_or_default();
-        let lines: Vec<Value> = items.iter().map(told).collect();
-        self.recorder.note("list", || json!({"nodes": lines}));
-        let _ = self.inputs.send(Input::ListWhole(items)).await;
-        let version = meta::text(&list, &["metadata", "resourceVersion"]);
-        let path = format!("/api/v1/nodes?watch=true&allowWatchBookmarks=true&resourceVersion={version}");
-        let mut lines = match client.lines(&path, HEAD_WITHIN).await {
-            Ok(lines) => lines,
-            Err(problem) => return format!("the watch: {problem}"),
+        let read = |followed| match followed {
+            Followed::Whole(nodes) => {
+                let lines: Vec<Value> = nodes.iter().map(told).collect();
+                self.recorder.note("list", || json!({"nodes": lines}));
+                Input::ListWhole(nodes)
+            }
+            Followed::Change(node, deleted) => {
+                let mut line = told(&node);
+                line["deleted"] = deleted.into();
+                self.recorder.note("told", || line);
+                Input::ListChange(node, deleted)
+            }
         };
-        loop {
-            let line = match clock::within(SILENCE, lines.next()).await {
-                None => return "silence".into(),
-                Some(Ok(Some(line))) => line,
-                Some(Ok(None)) => return "it ended".into(),
-                Some(Err(problem)) => return problem.to_string(),
-            };
-            let Ok(mut event) = serde_json::from_slice::<Value>(&line) else { return "no JSON".into() };
-            let object = event["object"].take();
-            let deleted = match event["type"].as_str() {
-                Some("ADDED" | "MODIFIED") => false,
-                Some("DELETED") => true,
-                Some("BOOKMARK") => continue,
-                _ => return format!("an error of the register: {}", meta::text(&object, &["message"])),
-            };
-            let mut line = told(&object);
-            line["deleted"] = deleted.into();
-            self.recorder.note("told", || line);
-            let _ = self.inputs.send(Input::ListChange(object, deleted)).await;
-        }
+        follow(&client, "/api/v1/nodes", HEAD_WITHIN, SILENCE, read, &self.inputs).await
     }
 
     async fn follow_edge(&self, id: EdgeId, address: &str) {
@@ -363,33 +342,16 @@
             edges.insert(id, send.clone());
         }
         let patience = self.config.planner.edge_patience;
-        let life = Mutex::new(Liveness::new(patience / 4.0, patience, clock::now()));
-        let mut reader = frames::FrameReader::new(socket.clone());
-        let reading = async {
-            while let Some(message) = reader.next::<ToPlanner>().await? {
-                if let Ok(mut life) = life.lock() {
-                    life.heard(clock::now());
-                }
-                if message != ToPlanner::Ping {
-                    self.recorder.note("heard", || json!({"message": message}));
-                    let _ = self.inputs.send(Input::Edge(id, message)).await;
-                }
-            }
-            Ok(())
-        };
-        let beating = async {
-            loop {
-                clock::sleep(patience / 4.0).await;
-                if life.lock().is_ok_and(|life| life.lost(clock::now())) {
-                    return Err("silence".to_owned());
-                }
-                send.try_send(ToEdge::Ping).map_err(|e| e.to_string())?;
+        let read = |message| {
+            if message == ToPlanner::Ping {
+                return None;
             }
+            self.recorder.note("heard", || json!({"message": message}));
+            Some(Input::Edge(id, message))
         };
-        let writing = frames::write_all(socket.clone(), queue);
-        let ended = futures_lite::future::or(reading, futures_lite::future::or(beating, writing)).await;
-        let _ = socket.shutdown(std::net::Shutdown::Both);
-        ended
+        let reader = frames::FrameReader::new(socket.clone());
+        let link = frames::Link { queue, send, ping: ToEdge::Ping };
+        frames::keep(socket, reader, link, patience, read, &self.inputs).await
     }
 }
 
