Read once more: what stood twice stands once, and what nobody used is gone

Cause: found on reading the whole change again. The planner gave tasks up in two copies of one match; three programs chose between a settings file and the built-in ones; the rig posted faults in two places; a deletion's demands were read in each hook. A step of the controller no longer copies each Job's names.

--- a/crates/cli/src/children.rs
+++ b/crates/cli/src/children.rs
@@ -7,11 +7,7 @@
 
 /// Settings from a file, or the built-in ones.
 pub fn config(path: Option<&PathBuf>) -> Result<Config, String> {
-    match path {
-        Some(path) => tidespur_config::load(path),
-        None => tidespur_config::parse("built-in", tidespur_config::DEFAULT),
-    }
-    .map_err(|e| e.to_string())
+    tidespur_config::load_or_default(path.map(PathBuf::as_path)).map_err(|e| e.to_string())
 }
 
 pub fn edge(options: tidespur_edge::Options) -> Result<(), String> {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,11 @@
 /// The settings that `tidespur up` uses where no file is named; also the documented example.
 pub const DEFAULT: &str = include_str!("../default.hcl");
 
+/// Reads and checks a file; without one, takes the built-in settings.
+pub fn load_or_default(path: Option<&Path>) -> Result<Config, Problem> {
+    path.map_or_else(|| parse("built-in", DEFAULT), load)
+}
+
 /// Reads and checks a file.
 pub fn load(path: &Path) -> Result<Config, Problem> {
     let name = path.display().to_string();
--- a/crates/controller/src/job.rs
+++ b/crates/controller/src/job.rs
@@ -3,6 +3,7 @@
 use crate::slot::{Slot, State, Verdict};
 use crate::{Action, JobView, PodEnd, PodPhase, PodView, Settings, SlotId};
 use rand::Rng;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use tidespur_link::Found;
 
@@ -263,29 +264,27 @@
             }
         }
         let status = self.status();
-        let (uid, name) = (self.view.uid.clone(), self.view.name.clone());
+        let whose = |view: &JobView| (view.uid.clone(), view.namespace.clone(), view.name.clone());
         if self.told.as_ref() != Some(&status) {
             self.told = Some(status.clone());
-            let namespace = self.view.namespace.clone();
-            out.push(Action::Status { uid: uid.clone(), namespace, name: name.clone(), status });
+            let (uid, namespace, name) = whose(&self.view);
+            out.push(Action::Status { uid, namespace, name, status });
         }
         let over = self.ended.zip(self.view.ttl).is_some_and(|(ended, ttl)| now >= ended + ttl);
         if over && !self.deleted {
             self.deleted = true;
-            out.push(Action::DeleteJob { namespace: self.view.namespace.clone(), name, uid });
+            let (uid, namespace, name) = whose(&self.view);
+            out.push(Action::DeleteJob { namespace, name, uid });
         }
     }
 
     fn shrink(&mut self, pods: &mut BTreeMap<String, String>, out: &mut Vec<Action>) {
         let beyond = self.slots.len().saturating_sub(self.wanted());
-        let mut order: Vec<(u32, u32)> = self
-            .slots
-            .iter()
-            .filter_map(|(n, slot)| slot.keep_rank().map(|rank| (rank, u32::MAX - n)))
-            .collect();
+        let rank = |(&number, slot): (&u32, &Slot)| slot.keep_rank().map(|rank| (rank, Reverse(number)));
+        let mut order: Vec<(u32, Reverse<u32>)> = self.slots.iter().filter_map(rank).collect();
         order.sort_unstable();
-        for (_, number) in order.into_iter().take(beyond) {
-            let Some(slot) = self.slots.remove(&(u32::MAX - number)) else { continue };
+        for (_, Reverse(number)) in order.into_iter().take(beyond) {
+            let Some(slot) = self.slots.remove(&number) else { continue };
             if let State::Active { pod } = slot.state {
                 pods.remove(&pod.uid);
                 out.push(Action::DeletePod { namespace: pod.namespace, name: pod.name, uid: pod.uid });
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -123,12 +123,6 @@
     },
 }
 
-/// A Pod without a Job that may run though it was answered as failed: stopped after the settling time.
-#[derive(Debug)]
-struct Stray {
-    reap_at: f64,
-}
-
 /// The controller of all Jobs of one edge.
 #[derive(Debug)]
 pub struct Controller {
@@ -137,7 +131,8 @@
     jobs: BTreeMap<String, Job>,
     /// Job of each Pod whose slot is open.
     pods: BTreeMap<String, String>,
-    strays: BTreeMap<String, Stray>,
+    /// Pods without a Job that may run though they were answered as failed, and when what runs of them is stopped.
+    strays: BTreeMap<String, f64>,
 }
 
 impl Controller {
@@ -155,12 +150,8 @@
         for job in self.jobs.values_mut() {
             job.act(now, &mut self.pods, out);
         }
-        let due: Vec<String> = self
-            .strays
-            .iter()
-            .filter(|(_, stray)| stray.reap_at <= now)
-            .map(|(uid, _)| uid.clone())
-            .collect();
+        let due = self.strays.iter().filter(|(_, at)| **at <= now).map(|(uid, _)| uid.clone());
+        let due: Vec<String> = due.collect();
         for uid in due {
             self.strays.remove(&uid);
             out.push(Action::Reap { uid });
@@ -170,7 +161,7 @@
     /// When to step next though nothing happens.
     pub fn next_wake(&self) -> Option<f64> {
         let jobs = self.jobs.values().filter_map(Job::next_wake);
-        jobs.chain(self.strays.values().map(|stray| stray.reap_at)).min_by(f64::total_cmp)
+        jobs.chain(self.strays.values().copied()).min_by(f64::total_cmp)
     }
 
     /// How many Jobs stand.
@@ -187,7 +178,7 @@
             Event::JobGone(uid) => {
                 if let Some(job) = self.jobs.remove(&uid) {
                     job.gone(&mut self.pods, &mut |uid| {
-                        self.strays.insert(uid, Stray { reap_at: now + self.settings.settle });
+                        self.strays.insert(uid, now + self.settings.settle);
                     });
                 }
             }
@@ -227,8 +218,8 @@
     /// A Pod without a Job here, or whose slot is over: nobody will ask for it again, so what may run of it after
     /// an unclear answer has no owner and is stopped.
     fn foreign(&mut self, now: f64, pod: &PodView) {
-        if pod.phase == PodPhase::Ended(PodEnd::Unknown) && !pod.settled {
-            self.strays.entry(pod.uid.clone()).or_insert(Stray { reap_at: now + self.settings.settle });
+        if pod.phase == PodPhase::Ended(PodEnd::Unknown) {
+            self.strays.entry(pod.uid.clone()).or_insert(now + self.settings.settle);
         }
     }
 }
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -95,8 +95,6 @@
     pub known_as: String,
     /// How far it is.
     pub phase: PodPhase,
-    /// What may run of it has been taken care of.
-    pub settled: bool,
 }
 
 /// Reasons in the status of failed Pods, and what they mean to the owner.
@@ -131,7 +129,6 @@
             name: meta::name(pod).to_owned(),
             known_as: meta::annotation(pod, names::ADOPTS).unwrap_or(meta::name(pod)).to_owned(),
             phase,
-            settled: false,
         }
     }
 }
--- a/crates/controller/tests/owner.rs
+++ b/crates/controller/tests/owner.rs
@@ -56,14 +56,7 @@
                 let name = format!("p{}", self.next);
                 let known_as = adopt.as_ref().map_or(name.clone(), |a| a.name.clone());
                 let phase = if adopt.is_some() { PodPhase::Placed } else { PodPhase::Waiting };
-                let pod = PodView {
-                    uid: name.clone(),
-                    namespace: "default".into(),
-                    name,
-                    known_as,
-                    phase,
-                    settled: false,
-                };
+                let pod = PodView { uid: name.clone(), namespace: "default".into(), name, known_as, phase };
                 self.made.push(pod.clone());
                 back.push(Event::Created { slot: slot.clone(), pod });
             }
--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -113,34 +113,34 @@
         object: &Object,
         how: &DeleteOptions,
     ) -> Result<Object, ApiError> {
-        let expect = Expect { uid: how.uid.clone(), version: how.version };
-        let (space, name) = (meta::namespace(object), meta::name(object));
+        let gone = how.remove(store, resource, object)?;
         match resource.kind {
             "Job" if how.propagation.as_deref() == Some("Orphan") => {
-                let gone = store.delete(resource, space, name, &expect)?;
                 let uid = meta::uid(&gone);
-                let owned: Vec<Arc<Object>> =
-                    store.all(PODS, space).filter(|pod| owner_uid(pod) == uid).cloned().collect();
+                let owned: Vec<Arc<Object>> = store
+                    .all(PODS, meta::namespace(&gone))
+                    .filter(|pod| owner_uid(pod) == uid)
+                    .cloned()
+                    .collect();
                 for pod in owned {
                     let mut pod = (*pod).clone();
                     meta::set(&mut pod, "ownerReferences", json!([]));
                     drop(store.update(PODS, pod, &Expect::default()));
                 }
-                Ok((*gone).clone())
             }
             "Namespace" => {
-                let gone = store.delete(resource, "", name, &expect)?;
+                let name = meta::name(&gone);
                 for inner in [JOBS, PODS, EVENTS] {
                     let all: Vec<Arc<Object>> = store.all(inner, name).cloned().collect();
                     for object in all {
                         drop(store.delete(inner, name, meta::name(&object), &Expect::default()));
                     }
                 }
-                Ok((*gone).clone())
             }
             // A Job's Pods follow it as soon as the core hears of its end.
-            _ => store.delete(resource, space, name, &expect).map(|object| (*object).clone()),
+            _ => {}
         }
+        Ok(gone)
     }
 
     fn ready(&self) -> Result<String, ApiError> {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -173,10 +173,10 @@
                     smol::spawn(async move {
                         let ended = this.serve_planner(id, socket).await;
                         tracing::info!(edge = this.options.name, %peer, ?ended, "a planner's link ended");
-                        let known = this.planners.lock().map(|mut planners| planners.remove(&id)).is_ok();
-                        if known {
-                            let _ = this.inputs.send(Input::PlannerLost(id)).await;
+                        if let Ok(mut planners) = this.planners.lock() {
+                            planners.remove(&id);
                         }
+                        let _ = this.inputs.send(Input::PlannerLost(id)).await;
                     })
                     .detach();
                 }
--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -127,7 +127,6 @@
     questions: Vec<Question>,
     /// Requests of which nothing may run any more: what turns up of them at a node is deleted. Bounded.
     unwanted: BTreeMap<String, f64>,
-    edges: BTreeSet<EdgeId>,
 }
 
 /// What is unwanted is remembered for this long: far longer than an offer can be on its way.
@@ -148,7 +147,6 @@
             listed: false,
             questions: Vec::new(),
             unwanted: BTreeMap::new(),
-            edges: BTreeSet::new(),
         })
     }
 
@@ -298,8 +296,7 @@
         out: &mut Vec<Output>,
     ) {
         match message {
-            ToPlanner::Welcome { .. } => drop(self.edges.insert(edge)),
-            ToPlanner::Ping => {}
+            ToPlanner::Welcome { .. } | ToPlanner::Ping => {}
             ToPlanner::Place(ask) => match self.read_task(now, &ask) {
                 Err(why) => {
                     out.push(Output::Edge(edge, ToEdge::Refused { uid: ask.uid, why, retry_in: 0.0 }))
@@ -386,53 +383,33 @@
 
     /// Its owner does not want it any more.
     fn stop(&mut self, id: TaskId, events: &mut Vec<Event>, out: &mut Vec<Output>) {
+        self.drop_open(id, events);
+        let Some(known) = self.book.get(id) else { return };
+        let Stage::Bound { attempt, node } = known.stage.clone() else { return };
+        let name = (known.ask.tenant.clone(), known.ask.name.clone());
+        self.delete_at(&node, name, out);
+        let ending = Ending::Cancelled;
+        events.push(Event::Outcome { task: id, attempt, ending, closed: true, report: None });
+        self.book.close(id);
+    }
+
+    /// Nobody waits for an answer any more. One that is out is still waited for here; what a node has stays.
+    fn drop_open(&mut self, id: TaskId, events: &mut Vec<Event>) {
         let Some(known) = self.book.get_mut(id) else { return };
         match known.stage.clone() {
-            Stage::Open => {
-                events.push(Event::Dropped(id));
-                self.book.close(id);
-            }
-            Stage::Out { attempt, node } => {
-                known.stage = Stage::Leaving { attempt, node };
-                events.push(Event::Dropped(id));
-            }
-            Stage::Bound { attempt, node } => {
-                let name = (known.ask.tenant.clone(), known.ask.name.clone());
-                self.delete_at(&node, name, out);
-                let end = Event::Outcome {
-                    task: id,
-                    attempt,
-                    ending: Ending::Cancelled,
-                    closed: true,
-                    report: None,
-                };
-                events.push(end);
-                self.book.close(id);
-            }
-            Stage::Leaving { .. } => {}
+            Stage::Open => drop(self.book.close(id)),
+            Stage::Out { attempt, node } => known.stage = Stage::Leaving { attempt, node },
+            Stage::Bound { .. } | Stage::Leaving { .. } => return,
         }
+        events.push(Event::Dropped(id));
     }
 
     /// The edge is lost. What was not yet answered is nobody's now; what runs runs on.
     fn edge_lost(&mut self, edge: EdgeId, events: &mut Vec<Event>) {
-        self.edges.remove(&edge);
         self.questions.retain(|question| question.edge != edge);
         let its: Vec<TaskId> =
             self.book.iter().filter(|(_, known)| known.edge == edge).map(|(id, _)| id).collect();
-        for id in its {
-            let Some(known) = self.book.get_mut(id) else { continue };
-            match known.stage.clone() {
-                Stage::Open => {
-                    events.push(Event::Dropped(id));
-                    self.book.close(id);
-                }
-                Stage::Out { attempt, node } => {
-                    known.stage = Stage::Leaving { attempt, node };
-                    events.push(Event::Dropped(id));
-                }
-                Stage::Bound { .. } | Stage::Leaving { .. } => {}
-            }
-        }
+        its.into_iter().for_each(|id| self.drop_open(id, events));
     }
 
     fn answered(
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -20,10 +20,7 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     tidespur_net::logs(arguments.log_json);
-    let config = match &arguments.options.config {
-        Some(path) => tidespur_config::load(path),
-        None => tidespur_config::parse("built-in", tidespur_config::DEFAULT),
-    };
+    let config = tidespur_config::load_or_default(arguments.options.config.as_deref());
     let ran = config
         .map_err(|e| e.to_string())
         .and_then(|config| smol::block_on(tidespur_planner::run(config, arguments.options)));
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -14,8 +14,8 @@
 use event_listener::Event;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
-use tidespur_api::{ApiError, Object, Resource};
-use tidespur_store::Store;
+use tidespur_api::{ApiError, Object, Resource, meta};
+use tidespur_store::{Expect, Store};
 
 /// Bounds of the API.
 #[derive(Clone, Debug)]
@@ -47,6 +47,20 @@
     pub version: Option<u64>,
 }
 
+impl DeleteOptions {
+    /// Removes the object alone, if it is the one that is demanded.
+    pub fn remove(
+        &self,
+        store: &mut Store,
+        resource: &Resource,
+        object: &Object,
+    ) -> Result<Object, ApiError> {
+        let expect = Expect { uid: self.uid.clone(), version: self.version };
+        let (space, name) = (meta::namespace(object), meta::name(object));
+        store.delete(resource, space, name, &expect).map(|object| (*object).clone())
+    }
+}
+
 /// What a program adds to the plain API: what is served, what a write must pass, what follows from it.
 pub trait Hooks: Send + Sync + Sized + 'static {
     /// Whether a resource is served here.
@@ -79,9 +93,7 @@
         object: &Object,
         how: &DeleteOptions,
     ) -> Result<Object, ApiError> {
-        let expect = tidespur_store::Expect { uid: how.uid.clone(), version: how.version };
-        let (space, name) = (tidespur_api::meta::namespace(object), tidespur_api::meta::name(object));
-        store.delete(resource, space, name, &expect).map(|object| (*object).clone())
+        how.remove(store, resource, object)
     }
     /// Called after any write, without the lock.
     fn written(&self) {}
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -3,7 +3,6 @@
 use crate::process::Process;
 use bytes::Bytes;
 use hyper::Method;
-use serde_json::Value;
 use std::path::{Path, PathBuf};
 use tidespur_net::{Client, clock};
 use tidespur_standin::Fault;
@@ -209,28 +208,7 @@
     /// Makes something go wrong at a node.
     pub async fn fault(&self, node: &str, fault: &Fault) -> Result<(), String> {
         let process = self.nodes.iter().find(|p| p.name == node).ok_or(format!("{node}: no such node"))?;
-        let client = Client::new(&process.addresses[0], 1, vec![]);
-        let body = serde_json::to_vec(fault).map_err(|e| e.to_string())?.into();
-        let sent = client.send(Method::POST, "/standin/fault", "application/json", body, 2.0).await;
-        match sent {
-            Ok(reply) if reply.status.is_success() => Ok(()),
-            Ok(reply) => Err(format!("{node}: {}", reply.status)),
-            Err(problem) => Err(format!("{node}: {problem}")),
-        }
-    }
-
-    /// Marks a node as (not) schedulable, through the API.
-    pub async fn cordon(&self, node: &str, on: bool) -> Result<(), String> {
-        let client = Client::new(self.api(0), 1, vec![]);
-        let body: Value = serde_json::json!({"spec": {"unschedulable": on}});
-        let bytes = body.to_string().into_bytes().into();
-        let path = format!("/api/v1/nodes/{node}");
-        let media = "application/merge-patch+json";
-        match client.send(Method::PATCH, &path, media, bytes, 3.0).await {
-            Ok(reply) if reply.status.is_success() => Ok(()),
-            Ok(reply) => Err(format!("{node}: {} {}", reply.status, reply.json()["message"])),
-            Err(problem) => Err(format!("{node}: {problem}")),
-        }
+        fault_at(&process.addresses[0], fault).await.map_err(|problem| format!("{node}: {problem}"))
     }
 
     /// The folder of recordings.
@@ -239,6 +217,17 @@
     }
 }
 
+/// Makes something go wrong at the node of that address.
+pub(crate) async fn fault_at(address: &str, fault: &Fault) -> Result<(), String> {
+    let client = Client::new(address, 1, vec![]);
+    let body = serde_json::to_vec(fault).map_err(|e| e.to_string())?.into();
+    match client.send(Method::POST, "/standin/fault", "application/json", body, 2.0).await {
+        Ok(reply) if reply.status.is_success() => Ok(()),
+        Ok(reply) => Err(reply.status.to_string()),
+        Err(problem) => Err(problem.to_string()),
+    }
+}
+
 fn zone(i: usize) -> String {
     format!("halle-{}", char::from(b'a' + (i % 26) as u8))
 }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -1,6 +1,6 @@
 //! Plays a scenario through a cluster of real processes and records it.
 
-use crate::cluster::{Cluster, Layout};
+use crate::cluster::{Cluster, Layout, fault_at};
 use crate::scenario::{Kind, Scenario, Trouble, Work};
 use bytes::Bytes;
 use hyper::Method;
@@ -367,11 +367,9 @@
 
 async fn tell(day: &Day, node: &str, fault: &Fault) {
     let address = day.with(|cluster| cluster.process(node).map(|p| p.addresses[0].clone())).flatten();
-    let (Some(address), Ok(body)) = (address, serde_json::to_vec(fault)) else { return };
-    let client = Client::new(&address, 1, vec![]);
-    let sent = client.send(Method::POST, "/standin/fault", "application/json", body.into(), 2.0).await;
-    if let Err(problem) = sent {
-        tracing::debug!(node, %problem, "a fault did not get there");
+    let Some(address) = address else { return };
+    if let Err(problem) = fault_at(&address, fault).await {
+        tracing::debug!(node, problem, "a fault did not get there");
     }
 }
 
