A reader that fell behind the store is told what came, changed and went

Found from outside: where one step of the edge met more changes than the history holds, every Pod was read anew as changed, so one never seen was never submitted and stayed Pending past its deadline, and a deletion was not told.

Desk and controller now read through store::Follower, which remembers the last version of each object it saw and, where its cursor has expired, compares that to what stands.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -11,7 +11,7 @@
 use tidespur_config::{Config, Effect};
 use tidespur_controller::{self as controller, Controller, JobView, PodView, SlotId};
 use tidespur_link::{ToEdge, ToPlanner};
-use tidespur_store::{Change, ChangeKind, Cursor, Expect, Store};
+use tidespur_store::{ChangeKind, Expect, Follower, Store};
 
 /// What the edge is told.
 #[derive(Clone, Debug)]
@@ -43,8 +43,8 @@
     config: Config,
     desk: Desk,
     controller: Controller,
-    jobs: Cursor,
-    pods: Cursor,
+    jobs: Follower,
+    pods: Follower,
     /// Namespace and name of each Pod that desk or planners know by uid.
     known: BTreeMap<String, (String, String)>,
     ended: Garbage,
@@ -52,8 +52,8 @@
 }
 
 impl Core {
-    /// The core over a new store.
-    pub fn new(config: Config, store: &Store, seed: u64) -> Self {
+    /// The core of an edge that has read nothing of its store yet.
+    pub fn new(config: Config, seed: u64) -> Self {
         let desk = Desk::new(desk::Settings {
             planner_most: config.edge.planner_most as usize,
             one_home: config.edge.one_home,
@@ -80,12 +80,7 @@
             },
             seed,
         );
-        // A new store has no history before now, so both cursors stand.
-        let from = |resource: &Resource| store.watch(resource, store.version());
-        let (jobs, pods) = match (from(JOBS), from(PODS)) {
-            (Ok(jobs), Ok(pods)) => (jobs, pods),
-            _ => unreachable!("a cursor at the store's own version always stands"),
-        };
+        let (jobs, pods) = (Follower::new(JOBS), Follower::new(PODS));
         let (ended, events) = (Garbage::new(PODS, ENDED_MOST), Garbage::new(EVENTS, EVENTS_MOST));
         Self { config, desk, controller, jobs, pods, known: BTreeMap::new(), ended, events }
     }
@@ -95,6 +90,11 @@
         self.desk.open()
     }
 
+    /// How often it fell behind its own store's history.
+    pub fn behind(&self) -> u64 {
+        self.jobs.behind() + self.pods.behind()
+    }
+
     /// Planners that are connected.
     pub fn planners(&self) -> usize {
         self.desk.planners()
@@ -135,9 +135,7 @@
             }
             let mut actions = Vec::new();
             self.controller.step(now, std::mem::take(&mut owner_events).into(), &mut actions);
-            let quiet = actions.is_empty()
-                && self.pods.version() == store.version()
-                && self.jobs.version() == store.version();
+            let quiet = actions.is_empty() && self.pods.current(store) && self.jobs.current(store);
             for action in actions {
                 self.owner_says(now, action, store, &mut owner_events, &mut desk_events);
             }
@@ -147,27 +145,8 @@
         }
     }
 
-    fn changes(cursor: &mut Cursor, store: &Store, resource: &Resource) -> Vec<Change> {
-        let mut changes = Vec::new();
-        if let Err(expired) = store.poll(cursor, BATCH, &mut changes) {
-            // Only where one step writes more than the whole history; all that stands is then read anew.
-            tracing::error!(%expired, resource = resource.plural, "the edge fell behind its own store");
-            if let Ok(fresh) = store.watch(resource, store.version()) {
-                *cursor = fresh;
-            }
-            let again = |object: &Arc<Object>| Change {
-                version: meta::version(object),
-                kind: ChangeKind::Modified,
-                object: object.clone(),
-                before: None,
-            };
-            changes = store.all(resource, "").map(again).collect();
-        }
-        changes
-    }
-
     fn read_jobs(&mut self, store: &mut Store, owner: &mut VecDeque<controller::Event>) {
-        for change in Self::changes(&mut self.jobs, store, JOBS) {
+        for change in self.jobs.read(store, BATCH) {
             if change.kind != ChangeKind::Deleted {
                 owner.push_back(controller::Event::Job(JobView::read(&change.object)));
                 continue;
@@ -190,7 +169,7 @@
         owner: &mut VecDeque<controller::Event>,
         desk: &mut Vec<desk::Event>,
     ) {
-        for change in Self::changes(&mut self.pods, store, PODS) {
+        for change in self.pods.read(store, BATCH) {
             let pod = &change.object;
             let (uid, view) = (meta::uid(pod).to_owned(), PodView::read(pod));
             if change.kind == ChangeKind::Deleted {
@@ -209,7 +188,9 @@
                     self.ended.add(pod, store);
                 }
             }
-            if change.kind == ChangeKind::Added {
+            // One that came and ended within a gap of reading needs no answer any more.
+            let over = matches!(view.phase, controller::PodPhase::Ended(_));
+            if change.kind == ChangeKind::Added && !over {
                 self.known.insert(uid, (view.namespace, view.name));
                 let ask = task::ask(pod);
                 if meta::annotation(pod, names::ADOPTS).is_some() {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -87,7 +87,7 @@
         // The second "default" stands already.
         drop(store.create(NAMESPACES, object, clock::now()));
     }
-    let core = Core::new(config.clone(), &store, options.seed);
+    let core = Core::new(config.clone(), options.seed);
     let (send, receive) = async_channel::bounded(INPUTS_MOST);
     let hooks = EdgeHooks {
         classes: config.class.keys().cloned().collect(),
--- /dev/null
+++ b/crates/edge/tests/core.rs
@@ -0,0 +1,106 @@
+//! The edge's core over its store: nothing that was written is missed, however short the history.
+
+use serde_json::{Value, json};
+use tidespur_api::resource::{JOBS, NAMESPACES, PODS};
+use tidespur_api::{Object, meta};
+use tidespur_config::{DEFAULT, parse};
+use tidespur_edge::core::{Core, Input};
+use tidespur_link::ToPlanner;
+use tidespur_store::{Expect, Limits, Store};
+
+struct World {
+    core: Core,
+    store: Store,
+}
+
+impl World {
+    /// An edge whose store keeps four changes of each resource.
+    fn new() -> Self {
+        let limits = Limits { history: 4, ..Limits::default() };
+        let mut store = Store::new(limits, 1, 1000);
+        let space = json!({"metadata": {"name": "default"}, "spec": {}, "status": {"phase": "Active"}});
+        store.create(NAMESPACES, space, 0.0).unwrap();
+        Self { core: Core::new(parse("built-in", DEFAULT).unwrap(), 1), store }
+    }
+
+    fn step(&mut self, now: f64, inputs: Vec<Input>) -> Vec<ToPlanner> {
+        let mut out = Vec::new();
+        self.core.step(now, inputs, &mut self.store, &mut out);
+        out.into_iter().map(|(_, message)| message).collect()
+    }
+
+    fn make(&mut self, name: &str) -> std::sync::Arc<Object> {
+        let pod = json!({"metadata": {"name": name, "namespace": "default"},
+            "spec": {"containers": [{"name": "m"}]}, "status": {"phase": "Pending"}});
+        self.store.create(PODS, pod, 0.0).unwrap()
+    }
+
+    fn pod(&self, name: &str) -> Value {
+        (**self.store.get(PODS, "default", name).unwrap()).clone()
+    }
+}
+
+fn asked(out: &[ToPlanner]) -> usize {
+    out.iter().filter(|m| matches!(m, ToPlanner::Place(_))).count()
+}
+
+#[test]
+fn pods_written_faster_than_the_history_holds_are_all_submitted() {
+    let mut world = World::new();
+    world.step(0.0, vec![Input::PlannerUp(1)]);
+    for i in 0..40 {
+        world.make(&format!("p{i}"));
+    }
+    let out = world.step(0.1, vec![Input::Kick]);
+    assert_eq!(world.core.behind(), 1, "the gap was provoked");
+    assert_eq!(asked(&out), 40);
+    // Those that nobody answers are answered at their deadline all the same.
+    world.step(60.0, vec![Input::PlannerLost(1)]);
+    for i in 0..40 {
+        assert_eq!(meta::text(&world.pod(&format!("p{i}")), &["status", "phase"]), "Failed");
+    }
+}
+
+#[test]
+fn a_pod_deleted_within_a_gap_is_withdrawn_and_one_of_its_name_is_a_new_request() {
+    let mut world = World::new();
+    world.step(0.0, vec![Input::PlannerUp(1)]);
+    let (gone, again) = (world.make("gone"), world.make("again"));
+    world.step(0.1, vec![Input::Kick]);
+    for name in ["gone", "again"] {
+        world.store.delete(PODS, "default", name, &Expect::default()).unwrap();
+    }
+    for i in 0..20 {
+        world.make(&format!("p{i}"));
+    }
+    let second = world.make("again");
+    let out = world.step(0.2, vec![Input::Kick]);
+    for pod in [&gone, &again] {
+        let stop = ToPlanner::Stop { uid: meta::uid(pod).to_owned() };
+        assert!(out.contains(&stop), "{out:?}");
+    }
+    let placed: Vec<&str> = out
+        .iter()
+        .filter_map(|m| if let ToPlanner::Place(ask) = m { Some(ask.uid.as_str()) } else { None })
+        .collect();
+    assert!(placed.contains(&meta::uid(&second)) && placed.len() == 21, "{placed:?}");
+}
+
+#[test]
+fn a_job_deleted_within_a_gap_takes_its_pods_with_it() {
+    let mut world = World::new();
+    let job = |name: &str| {
+        json!({"metadata": {"name": name, "namespace": "default"}, "spec": {"parallelism": 2, "completions": 2,
+            "template": {"spec": {"restartPolicy": "Never", "containers": [{"name": "m"}]}}}, "status": {}})
+    };
+    world.store.create(JOBS, job("j"), 0.0).unwrap();
+    world.step(0.1, vec![Input::Kick]);
+    assert_eq!(world.store.count(PODS), 2);
+    world.store.delete(JOBS, "default", "j", &Expect::default()).unwrap();
+    for i in 0..20 {
+        world.store.create(JOBS, job(&format!("k{i}")), 0.0).unwrap();
+    }
+    world.step(0.2, vec![Input::Kick]);
+    assert!(world.core.behind() > 0);
+    assert_eq!(world.store.count(PODS), 40, "the pods of the twenty, none of the one that is gone");
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,9 +4,11 @@
 //! A watch is a cursor into that shared history and holds nothing of its own. However slow its reader is, it can
 //! hold no memory and slow nobody; once its place has been compacted away it is told [`Expired`].
 
+mod follow;
 mod history;
 mod list;
 
+pub use follow::Follower;
 pub use history::{Change, ChangeKind, Cursor, Expired};
 pub use list::{ListError, Page, PageRequest};
 
