What a planner has not confirmed taking is taken back; no field is taken and ignored

Nothing may be offered before Go, so a task without it is known never to have run and goes to another planner, or is refused. A safe task of a lost planner is refused, and what may run of it is stopped; a guarded one still fails. A planner that stood still for more than its part of the edges' patience gives up what was open before it reads on. Fields: each of Job, Pod and container is honoured, carried to the node (image, command, volumes: nodes were told of the size alone before) or refused by name; /version has all fields.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -4,6 +4,7 @@
 //! them, checks them, patches them, matches selectors against them and words errors as `Status`.
 
 pub mod decode;
+mod fields;
 pub mod meta;
 pub mod names;
 pub mod openapi;
--- a/crates/api/src/task.rs
+++ b/crates/api/src/task.rs
@@ -2,6 +2,7 @@
 
 use crate::{Object, meta, names, quantity};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// What a Pod asks of the planner.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -28,6 +29,8 @@
     pub returned: bool,
     /// The same for all repeats of the task.
     pub key: String,
+    /// The Pod's spec as its owner wrote it, in JSON: what the node is to run.
+    pub spec: Arc<str>,
 }
 
 /// Cores and memory units that a Pod's containers ask for.
@@ -59,5 +62,6 @@
         within: seconds(names::GIVE_UP_SECONDS),
         returned: meta::annotation(pod, names::RETURNED).is_some(),
         key: meta::annotation(pod, names::KEY).unwrap_or(meta::uid(pod)).to_owned(),
+        spec: meta::at(pod, &["spec"]).to_string().into(),
     }
 }
--- a/crates/api/src/validate.rs
+++ b/crates/api/src/validate.rs
@@ -1,7 +1,7 @@
 //! What a well-typed object must fulfil besides; each fault is a cause of a 422.
 
 use crate::status::Cause;
-use crate::{ApiError, Object, Resource, meta, names, quantity};
+use crate::{ApiError, Object, Resource, fields, meta, names, quantity};
 use serde_json::Value;
 
 /// Names, labels and annotations together may have this many bytes.
@@ -47,6 +47,7 @@
             }
         }
     }
+    fields::check(resource, object, &mut causes);
     match resource.kind {
         "Pod" => pod(meta::at(object, &["spec"]), object, "spec", classes, &mut causes),
         "Job" => job(object, old, classes, &mut causes),
--- a/crates/cli/tests/api.rs
+++ b/crates/cli/tests/api.rs
@@ -278,3 +278,72 @@
     }
     assert_eq!((made, refused), (2, 4));
 }
+
+#[test]
+fn a_typed_client_reads_the_version_and_a_node_is_given_the_whole_spec() {
+    let running = start(1, 1, |_, _| {});
+    let (_, version) = running.send("GET", "/version", "", "");
+    let info: k8s_openapi::apimachinery::pkg::version::Info =
+        serde_json::from_value(version.clone()).unwrap();
+    assert_eq!((info.major.as_str(), info.compiler.as_str()), ("1", "rustc"));
+    let fields = [
+        "major",
+        "minor",
+        "gitVersion",
+        "gitCommit",
+        "gitTreeState",
+        "buildDate",
+        "goVersion",
+        "compiler",
+        "platform",
+    ];
+    for field in fields {
+        assert!(version[field].as_str().is_some_and(|text| !text.is_empty()), "{field} in {version}");
+    }
+    let mut one = pod("whole");
+    one["spec"]["containers"][0]["image"] = "registry.example/web:7".into();
+    one["spec"]["containers"][0]["args"] = json!(["--port", "80"]);
+    check(&running, "POST", PODS, JSON, &one.to_string(), 201, "");
+    let node = tidespur_net::Client::new(&running.cluster.nodes[0].addresses[0], 1, vec![]);
+    running.until("the node has it", async || {
+        let held = smol::block_on(node.send(hyper::Method::GET, "/api/v1/pods", "", Default::default(), 5.0));
+        let spec = held.ok()?.json()["items"].as_array()?.first()?["spec"]["containers"][0].clone();
+        assert_eq!(spec["image"], "registry.example/web:7");
+        (spec["args"] == json!(["--port", "80"])).then_some(())
+    });
+}
+
+#[test]
+fn a_field_that_is_not_honoured_is_refused_by_its_name() {
+    let running = start(1, 1, |_, _| {});
+    let refused = |path: &str, body: Value, field: &str| {
+        let status = check(&running, "POST", path, JSON, &body.to_string(), 422, "Invalid");
+        let causes = status["details"]["causes"].as_array().unwrap();
+        assert!(causes.iter().any(|cause| cause["field"] == field), "{field}: {status}");
+    };
+    let with = |mut object: Value, path: &[&str], value: Value| {
+        let (last, way) = path.split_last().unwrap();
+        way.iter().fold(&mut object, |at, key| &mut at[*key])[*last] = value;
+        object
+    };
+    let job = || job_value("j", "termin-web", 1, 1.0);
+    refused(JOBS, with(job(), &["spec", "completionMode"], "Indexed".into()), "spec.completionMode");
+    refused(JOBS, with(job(), &["spec", "maxFailedIndexes"], 3.into()), "spec.maxFailedIndexes");
+    refused(JOBS, with(job(), &["metadata", "finalizers"], json!(["x.example/wait"])), "metadata.finalizers");
+    let selector = json!({"zone": "a"});
+    let at = ["spec", "template", "spec", "nodeSelector"];
+    refused(JOBS, with(job(), &at, selector.clone()), "spec.template.spec.nodeSelector");
+    refused(PODS, with(pod("p"), &["spec", "nodeSelector"], selector), "spec.nodeSelector");
+    let grace = "terminationGracePeriodSeconds";
+    refused(PODS, with(pod("p"), &["spec", grace], 30.into()), "spec.terminationGracePeriodSeconds");
+    let mut large = pod("p");
+    large["spec"]["containers"][0]["resources"]["requests"]["example.com/gpu"] = "1".into();
+    refused(PODS, large, "spec.containers[0].resources.requests.example.com/gpu");
+    // What is honoured passes: the one value that is served, and nothing left behind by a refusal.
+    check(&running, "POST", PODS, JSON, &with(pod("p"), &["spec", grace], 0.into()).to_string(), 201, "");
+    let one = format!("{PODS}/p");
+    check(&running, "DELETE", &format!("{one}?gracePeriodSeconds=30"), "", "", 422, "Invalid");
+    check(&running, "DELETE", &one, JSON, r#"{"gracePeriodSeconds":5}"#, 422, "Invalid");
+    check(&running, "DELETE", &one, JSON, r#"{"gracePeriodSeconds":0}"#, 200, "");
+    check(&running, "GET", &format!("{JOBS}/j"), "", "", 404, "NotFound");
+}
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use tidespur_api::resource::{EVENTS, JOBS, NODES, PODS};
-use tidespur_api::{Object, Resource, meta, names, task};
+use tidespur_api::{Object, meta, names, task};
 use tidespur_config::{Config, Effect};
 use tidespur_controller::{self as controller, Controller, JobView, PodView, SlotId};
 use tidespur_link::{ToEdge, ToPlanner};
@@ -59,6 +59,7 @@
             one_home: config.edge.one_home,
             answer_slack: config.safety.answer_slack / 2.0,
             locate_for: 3.0,
+            take_within: config.edge.planner_patience / 2.0,
         });
         let guarded: BTreeSet<String> = config
             .class
@@ -200,7 +201,8 @@
                     let class =
                         self.config.class.get(&ask.class).or_else(|| self.config.class.values().next());
                     let within = ask.within.or(class.map(|class| class.deadline)).unwrap_or(0.0);
-                    desk.push(desk::Event::Submit(ask, now + within));
+                    let safe = class.is_some_and(|class| class.effect == Effect::Safe);
+                    desk.push(desk::Event::Submit(ask, now + within, safe));
                 }
             }
         }
--- a/crates/edge/src/desk.rs
+++ b/crates/edge/src/desk.rs
@@ -22,13 +22,15 @@
     pub answer_slack: f64,
     /// Waits so long for planners to say where a task is.
     pub locate_for: f64,
+    /// A planner that has not taken a task within this is passed over until it speaks.
+    pub take_within: f64,
 }
 
 /// What the desk is told.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A task to place, and when its owner gives up.
-    Submit(Ask, f64),
+    /// A task to place, when its owner gives up, and whether a second start does no harm.
+    Submit(Ask, f64, bool),
     /// A task that runs at this node already.
     Adopt(Ask, String),
     /// Nobody wants the task any more.
@@ -75,6 +77,9 @@
 enum Stage {
     /// No planner has it.
     Queued,
+    /// This planner was asked, at that time. It may offer nothing before it is told `Go`, so the task can be taken
+    /// back, and it is known that it never ran.
+    Asked(PlannerId, f64),
     /// This planner has it; its answer is due.
     With(PlannerId),
     /// A node has it; this planner tells of it, or none for now.
@@ -85,12 +90,16 @@
 struct Task {
     ask: Ask,
     deadline: f64,
+    /// A second start does no harm.
+    safe: bool,
     stage: Stage,
 }
 
 #[derive(Debug, Default)]
 struct Planner {
     open: usize,
+    /// It let a task lie and has not spoken since.
+    silent: bool,
 }
 
 #[derive(Debug)]
@@ -143,8 +152,8 @@
         for event in events {
             self.take(now, event, out);
         }
-        self.hand_out(now, out);
         self.overdue(now, out);
+        self.hand_out(now, out);
         self.close_questions(now, out);
     }
 
@@ -153,6 +162,7 @@
         let slack = self.settings.answer_slack;
         let due = self.tasks.values().filter_map(|task| match task.stage {
             Stage::Queued => Some(task.deadline),
+            Stage::Asked(_, at) => Some(task.deadline.min(at + self.settings.take_within)),
             Stage::With(_) => Some(task.deadline + slack),
             Stage::Placed(..) => None,
         });
@@ -161,18 +171,19 @@
 
     fn take(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Submit(ask, deadline) => {
+            Event::Submit(ask, deadline, safe) => {
                 let uid = ask.uid.clone();
                 if self.tasks.contains_key(&uid) {
                     return;
                 }
-                self.tasks.insert(uid.clone(), Task { ask, deadline, stage: Stage::Queued });
+                self.tasks.insert(uid.clone(), Task { ask, deadline, safe, stage: Stage::Queued });
                 self.queue.push_back(uid);
                 self.open += 1;
             }
             Event::Adopt(ask, node) => {
                 let uid = ask.uid.clone();
-                let task = Task { ask, deadline: f64::INFINITY, stage: Stage::Placed(None, node) };
+                let task =
+                    Task { ask, deadline: f64::INFINITY, safe: false, stage: Stage::Placed(None, node) };
                 if self.tasks.insert(uid.clone(), task).is_none() {
                     self.bind(&uid, out);
                 }
@@ -181,7 +192,7 @@
                 let Some(task) = self.close(&uid) else { return };
                 match task.stage {
                     Stage::Queued => {}
-                    Stage::With(planner) | Stage::Placed(Some(planner), _) => {
+                    Stage::Asked(planner, _) | Stage::With(planner) | Stage::Placed(Some(planner), _) => {
                         out.push(Action::Tell(planner, ToPlanner::Stop { uid }));
                     }
                     Stage::Placed(None, _) => self.tell_all(&ToPlanner::Stop { uid }, out),
@@ -209,27 +220,36 @@
                 }
             }
             Event::PlannerLost(planner) => self.lost(planner, out),
-            Event::Said(planner, message) => self.said(planner, message, out),
+            Event::Said(planner, message) => self.said(now, planner, message, out),
         }
     }
 
-    /// What a lost planner had not answered may have been offered: it fails, which promises nothing. What nodes run
-    /// is handed to another planner, and stays as it is where there is none.
+    /// What a lost planner had been told to place may have been offered: it fails, which promises nothing, or is
+    /// refused where a second start does no harm, and what may run of it is stopped. What it had not been told to
+    /// place goes to another. What nodes run is handed to another planner, and stays as it is where there is none.
     fn lost(&mut self, planner: PlannerId, out: &mut Vec<Action>) {
         if self.planners.remove(&planner).is_none() {
             return;
         }
-        let (mut failed, mut placed) = (vec![], vec![]);
+        let (mut back, mut unclear, mut placed) = (vec![], vec![], vec![]);
         for (uid, task) in &self.tasks {
             match &task.stage {
-                Stage::With(p) if *p == planner => failed.push(uid.clone()),
+                Stage::Asked(p, _) if *p == planner => back.push(uid.clone()),
+                Stage::With(p) if *p == planner => unclear.push(uid.clone()),
                 Stage::Placed(Some(p), _) if *p == planner => placed.push(uid.clone()),
                 _ => {}
             }
         }
-        for uid in failed {
-            self.close(&uid);
-            out.push(Action::Failed(uid, "the planner that had it was lost".into()));
+        back.iter().for_each(|uid| self.take_back(uid));
+        for uid in unclear {
+            let safe = self.close(&uid).is_some_and(|task| task.safe);
+            if safe {
+                self.tell_all(&ToPlanner::Stop { uid: uid.clone() }, out);
+                let why = "the planner that had it was lost; a second start does no harm";
+                out.push(Action::Refused(uid, why.into()));
+            } else {
+                out.push(Action::Failed(uid, "the planner that had it was lost".into()));
+            }
         }
         for uid in placed {
             if let Some(task) = self.tasks.get_mut(&uid)
@@ -248,13 +268,39 @@
         }
     }
 
-    fn said(&mut self, planner: PlannerId, message: ToEdge, out: &mut Vec<Action>) {
+    /// A task that its planner was not told to place stands first in the queue again.
+    fn take_back(&mut self, uid: &str) {
+        let Some(task) = self.tasks.get_mut(uid) else { return };
+        let Stage::Asked(planner, _) = task.stage else { return };
+        task.stage = Stage::Queued;
+        self.queue.push_front(uid.to_owned());
+        if let Some(planner) = self.planners.get_mut(&planner) {
+            planner.open = planner.open.saturating_sub(1);
+        }
+    }
+
+    fn said(&mut self, now: f64, planner: PlannerId, message: ToEdge, out: &mut Vec<Action>) {
+        if let Some(planner) = self.planners.get_mut(&planner) {
+            planner.silent = false;
+        }
         let (with, placed) = match self.tasks.get(message_uid(&message)).map(|task| &task.stage) {
             Some(Stage::With(p)) => (*p == planner, false),
+            // It may turn away at once what it can't read as a task.
+            Some(Stage::Asked(p, _)) if matches!(message, ToEdge::Refused { .. }) => (*p == planner, false),
             Some(Stage::Placed(by, _)) => (false, *by == Some(planner)),
             _ => (false, false),
         };
         match message {
+            ToEdge::Taken { uid } => match self.tasks.get_mut(&uid) {
+                Some(task) if matches!(task.stage, Stage::Asked(p, _) if p == planner) => {
+                    task.stage = Stage::With(planner);
+                    let within = (task.deadline - now).max(0.0);
+                    out.push(Action::Tell(planner, ToPlanner::Go { uid, within }));
+                }
+                // A word on a task that it has already, or that was taken back.
+                Some(task) if task.stage == Stage::With(planner) => {}
+                _ => out.push(Action::Tell(planner, ToPlanner::Stop { uid })),
+            },
             ToEdge::Placed { uid, node } if with => {
                 self.answered(&uid, planner);
                 if let Some(task) = self.tasks.get_mut(&uid) {
@@ -300,7 +346,7 @@
     fn close(&mut self, uid: &str) -> Option<Task> {
         let stage = self.tasks.get(uid)?.stage.clone();
         match stage {
-            Stage::With(planner) => self.answered(uid, planner),
+            Stage::Asked(planner, _) | Stage::With(planner) => self.answered(uid, planner),
             Stage::Queued => self.open = self.open.saturating_sub(1),
             Stage::Placed(..) => {}
         }
@@ -329,7 +375,7 @@
                 p.open += 1;
             }
             let Some(task) = self.tasks.get_mut(&uid) else { continue };
-            task.stage = Stage::With(planner);
+            task.stage = Stage::Asked(planner, now);
             let ask = Ask { within: Some(task.deadline - now), ..task.ask.clone() };
             out.push(Action::Tell(planner, ToPlanner::Place(ask)));
         }
@@ -341,12 +387,13 @@
     /// cold nodes bear is spent alone.
     fn choose(&self, service: &str, uid: &str) -> Option<PlannerId> {
         let room = |p: &&Planner| p.open < self.settings.planner_most;
+        let speaking = || self.planners.iter().filter(|(_, p)| !p.silent);
         if self.settings.one_home {
             // Rendezvous hashing: a service moves only when its own home comes or goes.
-            let home = self.planners.iter().max_by_key(|(id, _)| rank(service, **id))?;
+            let home = speaking().max_by_key(|(id, _)| rank(service, **id))?;
             return Some(*home.0).filter(|_| room(&home.1));
         }
-        let open = self.planners.iter().filter(|(_, p)| room(p));
+        let open = speaking().filter(|(_, p)| room(p));
         open.min_by_key(|(id, p)| (p.open, rank(uid, **id))).map(|(id, _)| *id)
     }
 
@@ -370,13 +417,28 @@
         let slack = self.settings.answer_slack;
         let due = |task: &Task| match task.stage {
             Stage::Queued => now >= task.deadline,
+            Stage::Asked(_, at) => now >= task.deadline.min(at + self.settings.take_within),
             Stage::With(_) => now >= task.deadline + slack,
             Stage::Placed(..) => false,
         };
         let due: Vec<String> =
             self.tasks.iter().filter(|(_, task)| due(task)).map(|(uid, _)| uid.clone()).collect();
         for uid in due {
+            if let Some(Task { stage: Stage::Asked(planner, _), deadline, .. }) = self.tasks.get(&uid) {
+                let (planner, late) = (*planner, now >= *deadline);
+                out.push(Action::Tell(planner, ToPlanner::Stop { uid: uid.clone() }));
+                if let Some(planner) = self.planners.get_mut(&planner) {
+                    planner.silent = true;
+                }
+                if !late {
+                    self.take_back(&uid);
+                    continue;
+                }
+            }
             match self.close(&uid).map(|task| task.stage) {
+                Some(Stage::Asked(..)) => {
+                    out.push(Action::Refused(uid, "no planner took it in time".into()));
+                }
                 Some(Stage::With(planner)) => {
                     out.push(Action::Tell(planner, ToPlanner::Stop { uid: uid.clone() }));
                     out.push(Action::Failed(uid, "its planner gave no answer in time".into()));
@@ -430,7 +492,8 @@
 
 fn message_uid(message: &ToEdge) -> &str {
     match message {
-        ToEdge::Placed { uid, .. }
+        ToEdge::Taken { uid }
+        | ToEdge::Placed { uid, .. }
         | ToEdge::Refused { uid, .. }
         | ToEdge::Failed { uid, .. }
         | ToEdge::Runs { uid }
--- a/crates/edge/tests/desk.rs
+++ b/crates/edge/tests/desk.rs
@@ -7,7 +7,13 @@
 use tidespur_link::{End, Found, ToEdge, ToPlanner};
 
 fn desk() -> Desk {
-    Desk::new(Settings { planner_most: 3, one_home: false, answer_slack: 0.05, locate_for: 1.0 })
+    Desk::new(Settings {
+        planner_most: 3,
+        one_home: false,
+        answer_slack: 0.05,
+        locate_for: 1.0,
+        take_within: 0.5,
+    })
 }
 
 fn ask(uid: &str) -> Ask {
@@ -21,7 +27,19 @@
 }
 
 fn submit(uid: &str, deadline: f64) -> Event {
-    Event::Submit(ask(uid), deadline)
+    Event::Submit(ask(uid), deadline, false)
+}
+
+fn taken(uid: &str) -> ToEdge {
+    ToEdge::Taken { uid: uid.into() }
+}
+
+/// The planner takes these and is told to go.
+fn take(desk: &mut Desk, now: f64, planner: u64, uids: &[&str]) {
+    let events = uids.iter().map(|uid| Event::Said(planner, taken(uid))).collect();
+    let out = step(desk, now, events);
+    let gone = out.iter().filter(|a| matches!(a, Action::Tell(p, ToPlanner::Go { .. }) if *p == planner));
+    assert_eq!(gone.count(), uids.len(), "{out:?}");
 }
 
 fn placed(uid: &str) -> ToEdge {
@@ -32,6 +50,7 @@
 fn tasks_of_a_lost_planner_fail_and_what_runs_goes_to_another() {
     let mut desk = desk();
     step(&mut desk, 0.0, vec![Event::PlannerUp(1), submit("a", 5.0), submit("b", 5.0)]);
+    take(&mut desk, 0.05, 1, &["a", "b"]);
     step(&mut desk, 0.1, vec![Event::Said(1, placed("a")), Event::PlannerUp(2)]);
     let out = step(&mut desk, 0.2, vec![Event::PlannerLost(1)]);
     assert!(out.iter().any(|a| matches!(a, Action::Failed(uid, _) if uid == "b")), "{out:?}");
@@ -47,6 +66,7 @@
 fn what_runs_waits_for_a_planner_where_there_is_none() {
     let mut desk = desk();
     step(&mut desk, 0.0, vec![Event::PlannerUp(1), submit("a", 5.0)]);
+    take(&mut desk, 0.05, 1, &["a"]);
     step(&mut desk, 0.1, vec![Event::Said(1, placed("a"))]);
     assert_eq!(step(&mut desk, 0.2, vec![Event::PlannerLost(1)]), []);
     let out = step(&mut desk, 9.0, vec![Event::PlannerUp(2)]);
@@ -57,6 +77,7 @@
 fn a_planner_that_hangs_is_answered_for_and_its_late_placement_is_stopped() {
     let mut desk = desk();
     step(&mut desk, 0.0, vec![Event::PlannerUp(1), submit("a", 1.0)]);
+    take(&mut desk, 0.05, 1, &["a"]);
     assert_eq!(desk.next_wake(), Some(1.05));
     let out = step(&mut desk, 1.05, vec![]);
     assert!(matches!(&out[..], [Action::Tell(1, ToPlanner::Stop { .. }), Action::Failed(..)]), "{out:?}");
@@ -70,14 +91,49 @@
     let events = (0..5).map(|i| submit(&format!("t{i}"), 2.0)).chain([Event::PlannerUp(1)]).collect();
     let out = step(&mut desk, 0.0, events);
     assert_eq!(out.len(), 3, "the planner holds three: {out:?}");
+    take(&mut desk, 0.2, 1, &["t0", "t1", "t2"]);
     let out = step(&mut desk, 0.5, vec![Event::Said(1, placed("t0"))]);
     assert!(
         matches!(&out[1], Action::Tell(1, ToPlanner::Place(ask)) if ask.uid == "t3" && ask.within == Some(1.5))
     );
+    take(&mut desk, 0.6, 1, &["t3"]);
     let out = step(&mut desk, 2.0, vec![]);
     assert!(matches!(&out[..], [Action::Refused(uid, _)] if uid == "t4"), "{out:?}");
 }
 
+#[test]
+fn what_a_silent_planner_has_not_taken_goes_to_another_and_what_it_has_is_answered_truthfully() {
+    let mut desk = desk();
+    let safe = Event::Submit(ask("safe"), 6.0, true);
+    step(&mut desk, 0.0, vec![Event::PlannerUp(1), safe, submit("unsafe", 6.0)]);
+    take(&mut desk, 0.1, 1, &["safe", "unsafe"]);
+    // It stands still from here on; what comes now lies in its socket.
+    step(&mut desk, 0.2, vec![submit("late", 6.0)]);
+    let out = step(&mut desk, 0.7, vec![]);
+    assert_eq!(out, [Action::Tell(1, ToPlanner::Stop { uid: "late".into() })], "nobody else is there");
+    let out = step(&mut desk, 0.8, vec![Event::PlannerUp(2)]);
+    assert!(matches!(&out[..], [Action::Tell(2, ToPlanner::Place(ask))] if ask.uid == "late"), "{out:?}");
+    // It comes back and reads: its word on a task that was taken back gets no Go.
+    let out = step(&mut desk, 0.9, vec![Event::Said(1, taken("late"))]);
+    assert_eq!(out, [Action::Tell(1, ToPlanner::Stop { uid: "late".into() })]);
+    let out = step(&mut desk, 1.0, vec![Event::PlannerLost(1)]);
+    assert!(out.iter().any(|a| matches!(a, Action::Refused(uid, _) if uid == "safe")), "{out:?}");
+    assert!(out.iter().any(|a| matches!(a, Action::Failed(uid, _) if uid == "unsafe")), "{out:?}");
+    let reap = Action::Tell(2, ToPlanner::Stop { uid: "safe".into() });
+    assert!(out.contains(&reap), "what may run of it holds no room: {out:?}");
+}
+
+#[test]
+fn while_all_planners_stand_still_nothing_is_answered_as_unknown_that_was_not_offered() {
+    let mut desk = desk();
+    let events = (0..3).map(|i| submit(&format!("t{i}"), 2.0)).chain([Event::PlannerUp(1)]).collect();
+    step(&mut desk, 0.0, events);
+    step(&mut desk, 0.6, vec![]);
+    step(&mut desk, 1.9, vec![Event::PlannerLost(1)]);
+    let out = step(&mut desk, 2.0, vec![]);
+    assert_eq!(out.iter().filter(|a| matches!(a, Action::Refused(..))).count(), 3, "{out:?}");
+}
+
 #[test]
 fn a_task_is_nowhere_only_if_every_planner_is_sure() {
     let located = |desk: &mut Desk, words: Vec<(u64, Found)>| {
@@ -112,7 +168,7 @@
         (0u8..12).prop_map(Do::Submit),
         (0u8..3).prop_map(Do::Up),
         (0u8..3).prop_map(Do::Lost),
-        (0u8..3, 0u8..12, 0u8..4).prop_map(|(p, t, k)| Do::Answer(p, t, k)),
+        (0u8..3, 0u8..12, 0u8..7).prop_map(|(p, t, k)| Do::Answer(p, t, k)),
         (0u8..12).prop_map(Do::Cancel),
         Just(Do::Wait),
     ]
@@ -136,8 +192,11 @@
                         with.remove(&uid);
                         *answers.entry(uid).or_default() += 1;
                     }
-                    Action::Tell(planner, ToPlanner::Place(ask)) => {
-                        assert!(with.insert(ask.uid.clone(), planner).is_none(), "{} is with two", ask.uid);
+                    Action::Tell(_, ToPlanner::Place(ask)) => {
+                        assert!(!with.contains_key(&ask.uid), "{} was told to go elsewhere", ask.uid);
+                    }
+                    Action::Tell(planner, ToPlanner::Go { uid, .. }) => {
+                        assert!(with.insert(uid.clone(), planner).is_none(), "{uid} is with two");
                     }
                     _ => {}
                 }
@@ -169,6 +228,7 @@
                         0 => placed(&uid),
                         1 => ToEdge::Refused { uid, why: String::new(), retry_in: 0.0 },
                         2 => ToEdge::Failed { uid, why: String::new() },
+                        3..=5 => taken(&uid),
                         _ => ToEdge::Ended { uid, end: End::Succeeded },
                     };
                     Event::Said(connections[p as usize], message)
--- a/crates/link/src/message.rs
+++ b/crates/link/src/message.rs
@@ -11,8 +11,16 @@
         /// Name of the edge.
         edge: String,
     },
-    /// A task to place; one of `Placed`, `Refused`, `Failed` is owed.
+    /// A task to place. `Taken` is due at once; nothing may be offered before `Go`.
     Place(Ask),
+    /// The task is the planner's now: one of `Placed`, `Refused`, `Failed` is owed. Until this is sent the edge can
+    /// take the task back and know that it was never offered.
+    Go {
+        /// The task.
+        uid: String,
+        /// Seconds from now in which its owner waits.
+        within: f64,
+    },
     /// A task that a node holds; from now on this planner tells of it.
     InPlace {
         /// The task.
@@ -80,6 +88,11 @@
         /// Its number.
         ordinal: u32,
     },
+    /// The task has been read; `Go` or `Stop` is due.
+    Taken {
+        /// The task.
+        uid: String,
+    },
     /// A node accepted the task: its one answer.
     Placed {
         /// The task.
--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -48,7 +48,7 @@
     Probed(String, Option<Report>),
     /// A timer of the policy is due.
     Timer(u64),
-    /// Time has passed.
+    /// Time has passed; due at least every quarter second.
     Tick,
 }
 
@@ -66,6 +66,8 @@
 pub enum Output {
     /// A message to an edge.
     Edge(EdgeId, ToEdge),
+    /// End all links to edges; they are opened anew.
+    Cut,
     /// Offer a task to a node.
     Offer {
         /// The task.
@@ -125,12 +127,18 @@
     nodes: Nodes,
     listed: bool,
     questions: Vec<Question>,
+    /// Taken, but not yet told to go: nothing may be offered for them.
+    taken: BTreeMap<String, (EdgeId, Ask)>,
+    stepped_at: f64,
     /// Requests of which nothing may run any more: what turns up of them at a node is deleted. Bounded.
     unwanted: BTreeMap<String, f64>,
 }
 
 /// What is unwanted is remembered for this long: far longer than an offer can be on its way.
 const UNWANTED_FOR: f64 = 120.0;
+/// After standing still for this share of the edges' patience a planner gives up all that is open. A ping is at most
+/// a quarter of the patience old when it stops, so an edge that has not given it up by then hears of it by the cut.
+const FENCE: f64 = 0.6;
 
 impl Core {
     /// A planner that knows nothing yet.
@@ -146,6 +154,8 @@
             nodes: Nodes::default(),
             listed: false,
             questions: Vec::new(),
+            taken: BTreeMap::new(),
+            stepped_at: f64::INFINITY,
             unwanted: BTreeMap::new(),
         })
     }
@@ -158,6 +168,7 @@
     /// Takes in `inputs`, all of time `now`, and appends what is to be done.
     pub fn step(&mut self, now: f64, inputs: Vec<Input>, out: &mut Vec<Output>) {
         let mut events = Vec::new();
+        self.fence(now, &mut events, out);
         for input in inputs {
             self.take(now, input, &mut events, out);
         }
@@ -170,6 +181,26 @@
         self.unwanted.retain(|_, until| now < *until);
     }
 
+    /// Guards against a planner that stood still (stopped, starved, its machine asleep) and goes on with tasks that
+    /// edges have answered for meanwhile: nothing may be sent for those. It gives up all that is open and cuts its
+    /// links, before it looks at anything that came in. Should also guard against a step that took too long. Harm:
+    /// what was open is refused or failed though the planner is back.
+    fn fence(&mut self, now: f64, events: &mut Vec<Event>, out: &mut Vec<Output>) {
+        let still = now - self.stepped_at;
+        self.stepped_at = now;
+        if still <= FENCE * self.config.edge.planner_patience {
+            return;
+        }
+        out.push(Output::Log(format!("stood still for {still:.1} s: gives up what was open")));
+        out.push(Output::Cut);
+        let open =
+            self.book.iter().filter(|(_, known)| matches!(known.stage, Stage::Open | Stage::Out { .. }));
+        let open: Vec<TaskId> = open.map(|(id, _)| id).collect();
+        open.into_iter().for_each(|id| self.drop_open(id, events));
+        self.questions.clear();
+        self.taken.clear();
+    }
+
     fn take(&mut self, now: f64, input: Input, events: &mut Vec<Event>, out: &mut Vec<Output>) {
         match input {
             Input::Edge(edge, message) => self.edge(now, edge, message, events, out),
@@ -301,14 +332,23 @@
                 Err(why) => {
                     out.push(Output::Edge(edge, ToEdge::Refused { uid: ask.uid, why, retry_in: 0.0 }))
                 }
-                Ok(mut task) => {
-                    let safe = !self.guarded[task.class];
-                    if let Some(id) = self.book.open(ask, edge, safe, Stage::Open, 0) {
-                        task.id = id;
-                        events.push(Event::Submit(task));
+                Ok(_) => {
+                    out.push(Output::Edge(edge, ToEdge::Taken { uid: ask.uid.clone() }));
+                    if self.book.id(&ask.uid).is_none() {
+                        self.taken.insert(ask.uid.clone(), (edge, ask));
                     }
                 }
             },
+            ToPlanner::Go { uid, within } => {
+                let Some((_, ask)) = self.taken.remove(&uid).filter(|(of, _)| *of == edge) else { return };
+                let ask = Ask { within: Some(within), ..ask };
+                let Ok(mut task) = self.read_task(now, &ask) else { return };
+                let safe = !self.guarded[task.class];
+                if let Some(id) = self.book.open(ask, edge, safe, Stage::Open, 0) {
+                    task.id = id;
+                    events.push(Event::Submit(task));
+                }
+            }
             ToPlanner::InPlace { ask, node } => {
                 let Ok(mut task) = self.read_task(now, &ask) else { return };
                 let safe = !self.guarded[task.class];
@@ -335,6 +375,9 @@
                 }
             }
             ToPlanner::Stop { uid } => {
+                if self.taken.remove(&uid).is_some() {
+                    return;
+                }
                 self.unwanted.insert(uid.clone(), now + UNWANTED_FOR);
                 if let Some(id) = self.book.id(&uid) {
                     self.stop(id, events, out);
@@ -407,6 +450,7 @@
     /// The edge is lost. What was not yet answered is nobody's now; what runs runs on.
     fn edge_lost(&mut self, edge: EdgeId, events: &mut Vec<Event>) {
         self.questions.retain(|question| question.edge != edge);
+        self.taken.retain(|_, (of, _)| *of != edge);
         let its: Vec<TaskId> =
             self.book.iter().filter(|(_, known)| known.edge == edge).map(|(id, _)| id).collect();
         its.into_iter().for_each(|id| self.drop_open(id, events));
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -130,6 +130,12 @@
                     send.close();
                 }
             }
+            Output::Cut => {
+                let Ok(edges) = self.edges.lock() else { return };
+                for send in edges.values() {
+                    send.close();
+                }
+            }
             Output::Offer { task, attempt, node, address, ask, wait } => {
                 let this = self.clone();
                 smol::spawn(async move {
@@ -366,7 +372,7 @@
     words::report(reply.headers.get(names::LOAD_HEADER)?.to_str().ok()?)
 }
 
-/// The Pod that a node is offered.
+/// The Pod that a node is offered: the owner's spec, with what was read from it as the one sum of requests.
 fn pod(ask: &Ask) -> Object {
     let memory = (ask.memory * names::MEMORY_UNIT).round();
     let job = ask.service.split_once('/').map_or("", |(_, job)| job);
@@ -374,10 +380,15 @@
     if let Some(life) = ask.life {
         annotations[names::EXPECTED_SECONDS] = life.to_string().into();
     }
+    let mut spec: Value = serde_json::from_str(&ask.spec).unwrap_or(Value::Null);
+    if spec["containers"][0].is_null() {
+        // An edge always sends the spec; a peer that does not gets a Pod of that size.
+        spec = json!({"containers": [{"name": "main", "resources": {"requests":
+            {"cpu": format!("{}", ask.cores), "memory": format!("{memory}")}}}]});
+    }
+    spec["priorityClassName"] = ask.class.clone().into();
     json!({"kind": "Pod", "apiVersion": "v1",
         "metadata": {"name": ask.name, "namespace": ask.tenant, "annotations": annotations,
             "labels": {names::JOB_NAME: job}},
-        "spec": {"priorityClassName": ask.class,
-            "containers": [{"name": "main", "resources": {"requests":
-                {"cpu": format!("{}", ask.cores), "memory": format!("{memory}")}}}]}})
+        "spec": spec})
 }
--- a/crates/planner/tests/core.rs
+++ b/crates/planner/tests/core.rs
@@ -62,7 +62,12 @@
     }
 
     fn place(&mut self, uid: &str, class: &str) -> Vec<Output> {
-        self.step(vec![Input::Edge(1, ToPlanner::Place(ask(uid, class)))])
+        let mut out = self.step(vec![Input::Edge(1, ToPlanner::Place(ask(uid, class)))]);
+        if out.contains(&Output::Edge(1, ToEdge::Taken { uid: uid.into() })) {
+            let within = ask(uid, class).within.unwrap();
+            out = self.step(vec![Input::Edge(1, ToPlanner::Go { uid: uid.into(), within })]);
+        }
+        out
     }
 
     /// Lets time pass in small steps until it is so, with the timers that are due.
@@ -250,3 +255,35 @@
     let said = told(&world.place("u", "odd"));
     assert!(matches!(&said[..], [ToEdge::Refused { why, .. }] if why.contains("\"odd\"")), "{said:?}");
 }
+
+fn offers(out: &[Output]) -> usize {
+    out.iter().filter(|o| matches!(o, Output::Offer { .. })).count()
+}
+
+#[test]
+fn nothing_is_offered_before_the_edge_says_go() {
+    let mut world = World::new(&["a", "b"]);
+    let out = world.step(vec![Input::Edge(1, ToPlanner::Place(ask("t", "termin-web")))]);
+    assert_eq!(out, [Output::Edge(1, ToEdge::Taken { uid: "t".into() })]);
+    assert_eq!(world.until(1.0, |o| matches!(o, Output::Offer { .. }).then_some(())), None);
+    // Taken back: a Go that crossed it finds nothing.
+    world.step(vec![Input::Edge(1, ToPlanner::Stop { uid: "t".into() })]);
+    let out = world.step(vec![Input::Edge(1, ToPlanner::Go { uid: "t".into(), within: 2.0 })]);
+    assert_eq!(offers(&out), 0, "{out:?}");
+    assert_eq!(offers(&world.place("u", "termin-web")), 1);
+}
+
+#[test]
+fn a_planner_that_stood_still_gives_up_what_was_open_before_it_reads_on() {
+    let mut world = World::new(&[]);
+    assert_eq!(offers(&world.place("held", "slot-abgleich")), 0, "there is no node yet");
+    // Not so long that an edge gives it up: it goes on.
+    world.now += 1.0;
+    assert!(!world.step(vec![Input::Tick]).contains(&Output::Cut));
+    world.now += 1.6;
+    let node = Input::ListWhole(vec![node("a")]);
+    let late = Input::Edge(1, ToPlanner::Place(ask("late", "slot-abgleich")));
+    let out = world.step(vec![node, late, Input::NodeHolds("a".into(), vec![])]);
+    assert!(out.contains(&Output::Cut) && offers(&out) == 0, "{out:?}");
+    assert_eq!(world.until(3.0, |o| matches!(o, Output::Offer { .. }).then_some(())), None);
+}
--- a/crates/rest/src/handle.rs
+++ b/crates/rest/src/handle.rs
@@ -92,10 +92,7 @@
             .map(|object| Good::Object(200, object, vec![])),
         Route::Objects(_) => Err(ApiError::no_such_path()),
         _ if !read => Err(ApiError::method()),
-        Route::Version => plain(
-            json!({"major": "1", "minor": "37", "gitVersion": concat!("v1.37.0+tidespur-", env!("CARGO_PKG_VERSION")),
-            "platform": "linux"}),
-        ),
+        Route::Version => plain(version()),
         Route::Health if path.starts_with("/readyz") => plain(json!(api.hooks.ready()?)),
         Route::Health => plain(json!("ok")),
         Route::Core => {
@@ -112,6 +109,18 @@
     }
 }
 
+/// Every field of the published type. What is not known of this build is said to be so.
+fn version() -> Value {
+    let built = |told: Option<&'static str>, otherwise: &'static str| told.unwrap_or(otherwise);
+    json!({"major": "1", "minor": "37",
+        "gitVersion": concat!("v1.37.0+tidespur-", env!("CARGO_PKG_VERSION")),
+        "gitCommit": built(option_env!("TIDESPUR_COMMIT"), "unknown"),
+        "gitTreeState": built(option_env!("TIDESPUR_TREE_STATE"), "unknown"),
+        "buildDate": built(option_env!("TIDESPUR_BUILD_DATE"), "1970-01-01T00:00:00Z"),
+        "goVersion": "none", "compiler": "rustc",
+        "platform": format!("{}/{}", std::env::consts::OS, std::env::consts::ARCH)})
+}
+
 fn batch() -> Value {
     let version = json!({"groupVersion": "batch/v1", "version": "v1"});
     json!({"kind": "APIGroup", "apiVersion": "v1", "name": "batch", "versions": [version], "preferredVersion": version})
--- a/crates/rest/src/options.rs
+++ b/crates/rest/src/options.rs
@@ -2,6 +2,7 @@
 
 use tidespur_api::decode::FieldValidation;
 use tidespur_api::selector::Selector;
+use tidespur_api::status::Cause;
 use tidespur_api::{ApiError, meta};
 
 /// What a request's query says.
@@ -31,6 +32,8 @@
     pub fields: FieldValidation,
     /// For deletions.
     pub propagation: Option<String>,
+    /// For deletions: seconds until the end.
+    pub grace: Option<u64>,
 }
 
 /// A watch ends after at most this.
@@ -83,6 +86,7 @@
             dry_run,
             fields: FieldValidation::parse(get("fieldValidation"))?,
             propagation: get("propagationPolicy").map(str::to_owned),
+            grace: number("gracePeriodSeconds")?,
         };
         if options.watch && options.initial.is_some() && options.version_match.is_none() {
             return Err(ApiError::bad_request("sendInitialEvents needs resourceVersionMatch=NotOlderThan"));
@@ -109,6 +113,23 @@
         if meta::at(body, &["gracePeriodSeconds"]).as_i64().is_some_and(|grace| grace < 0) {
             return Err(ApiError::bad_request("gracePeriodSeconds must be 0 or more"));
         }
+        let grace = meta::at(body, &["gracePeriodSeconds"]).as_u64().or(self.grace).unwrap_or(0);
+        let refused = [
+            (grace > 0, "gracePeriodSeconds", "only 0 is served: a deletion is at once"),
+            (!meta::at(body, &["orphanDependents"]).is_null(), "orphanDependents", "use propagationPolicy"),
+        ];
+        let causes: Vec<Cause> = refused
+            .into_iter()
+            .filter(|(refused, ..)| *refused)
+            .map(|(_, field, message)| Cause {
+                reason: "FieldValueNotSupported",
+                field: field.into(),
+                message: message.into(),
+            })
+            .collect();
+        if !causes.is_empty() {
+            return Err(ApiError::invalid("DeleteOptions", "", causes));
+        }
         let version = match text(&["preconditions", "resourceVersion"]) {
             None => None,
             Some(text) => Some(text.parse::<u64>().map_err(|_| {
