up starts children again that end; the policy tells why a task waits

Found from outside: up with its edge killed went on without an API and said nothing. It now watches its children by a state machine, says what ended and how, starts it again where it was after a pause that grows, and ends when one ends again and again.

Scheduler::explain (read only) tells for a held task what bars it from each machine and by how much it missed. gate is cut into bar, which returns the reason, and the admission of loss into lacks: the one set of predicates that decides also explains.

--- a/crates/cli/src/up.rs
+++ b/crates/cli/src/up.rs
@@ -2,12 +2,15 @@
 
 use clap::Args;
 use futures_lite::StreamExt;
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use tidespur_net::clock;
 use tidespur_rig::play::{Progress, play};
 use tidespur_rig::scenario::Scenario;
+use tidespur_rig::supervisor::{self, Action, Supervisor};
 use tidespur_rig::{Cluster, Layout, checker};
 
 #[derive(Args)]
@@ -74,13 +77,59 @@
             written.map_err(|e| format!("{}: {e}", path.display()))?;
         }
         println!("the API is at http://{}; end with Ctrl-C", cluster.api(0));
-        signals.next().await;
+        for (name, id) in cluster.children() {
+            println!("{name} runs as process {id}");
+        }
+        let stopped = async {
+            signals.next().await;
+            Ok(())
+        };
+        let ended = futures_lite::future::or(stopped, supervise(cluster)).await;
         println!("stopping");
-        drop(cluster);
-        Ok(())
+        ended
     })
 }
 
+/// Starts children again that end, until one ends again and again.
+async fn supervise(mut cluster: Cluster) -> Result<(), String> {
+    let names = cluster.children().into_iter().map(|(name, _)| name);
+    let mut watch = Supervisor::new(supervisor::Settings::default(), names, clock::now());
+    loop {
+        clock::sleep(0.25).await;
+        let ended: BTreeMap<String, String> = cluster.ended().into_iter().collect();
+        let names: Vec<String> = ended.keys().cloned().collect();
+        for action in watch.step(clock::now(), &names) {
+            match action {
+                Action::Wait(name, pause) => {
+                    let lost =
+                        if name.starts_with("edge") { "; the objects that it held are gone" } else { "" };
+                    let how = ended.get(&name).map_or("", String::as_str);
+                    eprintln!("tidespur: {name} has ended ({how}){lost}; it is started again in {pause} s");
+                }
+                Action::Start(name) => {
+                    let done;
+                    (cluster, done) = smol::unblock({
+                        let name = name.clone();
+                        move || {
+                            let done = cluster.restart(&name);
+                            (cluster, done)
+                        }
+                    })
+                    .await;
+                    match done {
+                        Ok(()) => {
+                            let id = cluster.children().into_iter().find(|(child, _)| *child == name);
+                            println!("{name} runs as process {}", id.map_or(0, |(_, id)| id));
+                        }
+                        Err(problem) => eprintln!("tidespur: {problem}"),
+                    }
+                }
+                Action::GiveUp(name) => return Err(format!("{name} ends again and again; see its log")),
+            }
+        }
+    }
+}
+
 #[derive(Args)]
 pub struct DemoOptions {
     /// Stand-in nodes
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -1,7 +1,7 @@
 //! All decisions of tidespur. Types, events and actions: `src/interface.rs`.
 //!
 //! The path of a request: `step` takes in what was observed, then `place` takes what waits. `pick` filters
-//! machines by `gate` (the five rules) and by what troubles stand against them, narrows these candidates to
+//! machines by `gate` (the five rules, and what troubles stand against them), narrows these candidates to
 //! those that lose least (`loss`: late start, crowding, a machine kept in use), and lets [`dice`] choose
 //! (Xie, Hyytiä, Righter, "Size-Aware Dispatching to Fluid Queues"); `send` offers the task. One that can't
 //! be placed ends in `finish`, or by an event that says it is over.
@@ -155,6 +155,11 @@
         !bars(now) && (self.unanswered() == 0 || !bars(-1.0))
     }
 
+    /// Until when what stands against it bars.
+    fn aside_until(&self, now: Seconds) -> Seconds {
+        self.troubles.values().map(|trouble| trouble.1).fold(now, f64::max)
+    }
+
     fn ready(&self) -> bool {
         self.entry.is_some() && !self.leaving
     }
@@ -598,10 +603,17 @@
         job.task.deadline.min(repeats) - LEEWAY
     }
 
-    /// The one gate: the five rules, for one more send of this task to this machine.
+    /// The one gate for one more send of this task to this machine.
     fn gate(&self, now: Seconds, job: &Job, id: MachineId, machine: &Machine) -> bool {
+        let open = job.state == State::Held && now < self.may_send_until(job);
+        open && self.bar(now, job, id, machine).is_none()
+    }
+
+    /// What bars a task from a machine: the five rules, then what troubles and offers stand against it.
+    fn bar(&self, now: Seconds, job: &Job, id: MachineId, machine: &Machine) -> Option<Bar> {
         let class = &self.settings.classes[job.task.class];
         let kind = machine.entry.as_ref().map(|entry| entry.kind);
+        let standing = machine.entry.as_ref().map(|entry| entry.standing);
         let in_group = match (job.may_run, class.effect) {
             (Some((_, first)), Effect::Keyed { group, .. }) => self.same_place(group, id, machine, first),
             _ => true,
@@ -611,13 +623,60 @@
             let near = |other| self.same_place(place, id, machine, other);
             self.spread.range(services).filter(|at| near(at.0.1)).map(|at| at.1).sum::<u32>()
         };
-        job.state == State::Held
-            && now < self.may_send_until(job)
-            && machine.ready()
-            && (class.kind.is_none() || class.kind == kind)
-            && in_group
-            && self.bears(now, machine)
-            && class.spread.is_none_or(|place| there(place) < class.spread_most)
+        let whose = (job.task.class, job.task.tenant);
+        match () {
+            () if !machine.ready() && standing == Some(Standing::Draining) => Some(Bar::Draining),
+            () if !machine.ready() => Some(Bar::Unlisted),
+            () if class.kind.is_some() && class.kind != kind => Some(Bar::Kind),
+            () if !in_group => Some(Bar::Group),
+            () if !self.bears(now, machine) => Some(Bar::Cold),
+            () => {
+                let full = class.spread.filter(|&place| there(place) >= class.spread_most);
+                let aside = || (!machine.open(now, whose)).then(|| Bar::Aside(machine.aside_until(now)));
+                let line = || (machine.unanswered() >= LINE).then_some(Bar::Line);
+                full.map(Bar::Spread).or_else(aside).or_else(line)
+            }
+        }
+    }
+
+    /// Why a task waits: what bars it from each machine, by the predicates that decide. Changes nothing.
+    pub fn explain(&self, now: Seconds, id: TaskId) -> Option<Waiting> {
+        let job = self.jobs.get(&id).filter(|job| job.state == State::Held)?;
+        let until = self.may_send_until(job);
+        let block = match self.settings.classes[job.task.class].effect {
+            _ if now < until => None,
+            _ if job.sends >= self.settings.max_attempts => Some(Block::Attempts),
+            Effect::Unsafe if job.may_run.is_some() => Some(Block::MayHaveRun),
+            Effect::Keyed { .. } if now < job.task.deadline - LEEWAY => Some(Block::Window),
+            _ => Some(Block::Late),
+        };
+        let bar = |(&to, m): (&MachineId, &Machine)| {
+            let bar = self.bar(now, job, to, m).or_else(|| self.lacks(&job.task, m));
+            bar.map(|bar| (to, bar))
+        };
+        Some(Waiting {
+            bars: self.machines.iter().filter_map(bar).collect(),
+            machines: self.machines.len(),
+            block,
+            until,
+            next_look: if self.retry_at.is_finite() { self.retry_at } else { now },
+            attempts: job.sends,
+        })
+    }
+
+    /// What the machine lacks to admit the task, as far as is known: of cores and memory the one that lacks more.
+    fn lacks(&self, task: &Task, machine: &Machine) -> Option<Bar> {
+        let asked = [machine.asked(0) + task.cores, machine.asked(1) + task.memory];
+        let asked = [asked[0] / machine.size[0], asked[1] / machine.size[1]];
+        let admits = [self.settings.admit_cores, self.settings.admit_memory];
+        let admits = admits.map(|most| most * ADMIT_FULL);
+        let over = [0, 1].map(|i| (asked[i] - admits[i]) / admits[i]);
+        let short = |i: usize| (asked[i] - admits[i]) * machine.size[i];
+        match () {
+            () if !(0..2).any(|i| asked[i] > admits[i]) => None,
+            () if over[0] > over[1] => Some(Bar::Cores(short(0))),
+            () => Some(Bar::Memory(short(1))),
+        }
     }
 
     fn same_place(&self, place: Place, id: MachineId, machine: &Machine, other: MachineId) -> bool {
@@ -645,8 +704,7 @@
         let asked = [machine.asked(0) + task.cores, machine.asked(1) + task.memory];
         let asked = [asked[0] / machine.size[0], asked[1] / machine.size[1]];
         let used = [asked[0] * use_of(0), asked[1] * use_of(1)];
-        let admits = [self.settings.admit_cores, self.settings.admit_memory];
-        if (0..2).any(|i| asked[i] > admits[i] * ADMIT_FULL) {
+        if self.lacks(task, machine).is_some() {
             return None;
         }
         let own = ((used[0] - class.calm) / class.fade.max(0.01)).clamp(0.0, 1.0);
@@ -683,12 +741,11 @@
 
     fn pick(&mut self, now: Seconds, id: TaskId) -> Option<MachineId> {
         let (job, safety) = (&self.jobs[&id], &self.settings.safety);
-        let (service, whose) = (job.task.service, (job.task.class, job.task.tenant));
+        let service = job.task.service;
         let mut candidates: Vec<(MachineId, &Machine, f64)> = self
             .machines
             .iter()
-            .filter(|&(&to, machine)| self.gate(now, job, to, machine) && machine.open(now, whose))
-            .filter(|(_, machine)| machine.unanswered() < LINE)
+            .filter(|&(&to, machine)| self.gate(now, job, to, machine))
             // Cold machines have no programs, and all schedulers must not choose the same one.
             .map(|(&to, machine)| {
                 let salt = if cold(machine, safety, now) { id.0.rotate_left(17) ^ self.seed } else { 0 };
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -446,6 +446,61 @@
     Log(String),
 }
 
+/// What keeps a task from one machine. Amounts are those of the moment of the question.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Bar {
+    /// The list does not show it, or shows it as gone.
+    Unlisted,
+    /// It drains.
+    Draining,
+    /// It is not of the kind that the class needs.
+    Kind,
+    /// An earlier attempt may have run, and repeats are dropped elsewhere.
+    Group,
+    /// It has just come up and bears no more offers now.
+    Cold,
+    /// As many tasks of the service as may be are in that place.
+    Spread(Place),
+    /// Set aside after troubles until this time; then one task at a time is let through.
+    Aside(Seconds),
+    /// As many offers of ours as may be wait there for an answer.
+    Line,
+    /// So many cores too few.
+    Cores(f64),
+    /// So much memory too little.
+    Memory(f64),
+}
+
+/// What keeps a task from all machines alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Block {
+    /// All its attempts are used up.
+    Attempts,
+    /// An earlier attempt may have run, and a second start does harm.
+    MayHaveRun,
+    /// An earlier attempt may have run, and the time in which repeats are dropped is over.
+    Window,
+    /// Its owner gives up now.
+    Late,
+}
+
+/// Why a task waits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Waiting {
+    /// What keeps it from each machine, in order of their ids; machines without an entry would take it.
+    pub bars: Vec<(MachineId, Bar)>,
+    /// Machines that were looked at.
+    pub machines: usize,
+    /// What keeps it from all.
+    pub block: Option<Block>,
+    /// Until when it can be sent.
+    pub until: Seconds,
+    /// When it is looked at next.
+    pub next_look: Seconds,
+    /// Attempts made.
+    pub attempts: u32,
+}
+
 /// A setting that can't be worked with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError {
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -205,6 +205,32 @@
         planner.restart(&[], false)
     }
 
+    /// Children that have ended by themselves, and how.
+    pub fn ended(&mut self) -> Vec<(String, String)> {
+        let all = self.nodes.iter_mut().chain(&mut self.edges).chain(&mut self.planners);
+        let all = all.chain([&mut self.register]);
+        all.filter_map(|process| Some((process.name.clone(), process.ended()?))).collect()
+    }
+
+    /// Names and process ids of all children that run.
+    pub fn children(&self) -> Vec<(String, u32)> {
+        let all = self.nodes.iter().chain(&self.edges).chain(&self.planners).chain([&self.register]);
+        all.filter_map(|process| Some((process.name.clone(), process.id()?))).collect()
+    }
+
+    /// Starts a child again where it was, whatever it is.
+    pub fn restart(&mut self, name: &str) -> Result<(), String> {
+        match name.split_once('-').map_or(name, |(kind, _)| kind) {
+            "edge" => self.restart_edge(name),
+            "planner" => self.restart_planner(name),
+            "node" => self.restart_node(name),
+            _ => {
+                let listen = self.register.addresses[0].clone();
+                self.register.restart(&[("--listen", listen)], true)
+            }
+        }
+    }
+
     /// Makes something go wrong at a node.
     pub async fn fault(&self, node: &str, fault: &Fault) -> Result<(), String> {
         let process = self.nodes.iter().find(|p| p.name == node).ok_or(format!("{node}: no such node"))?;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod play;
 pub mod process;
 pub mod scenario;
+pub mod supervisor;
 
 pub use cluster::{Cluster, Layout};
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -100,11 +100,15 @@
         }
     }
 
-    /// Whether it has ended by itself.
-    pub fn ended(&mut self) -> bool {
+    /// How it ended, if it did so by itself.
+    pub fn ended(&mut self) -> Option<String> {
         match &mut self.child {
-            Some(child) => !matches!(child.try_wait(), Ok(None)),
-            None => true,
+            Some(child) => match child.try_wait() {
+                Ok(None) => None,
+                Ok(Some(status)) => Some(status.to_string()),
+                Err(problem) => Some(problem.to_string()),
+            },
+            None => Some("not started".to_owned()),
         }
     }
 }
