--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -664,7 +664,7 @@
         })
     }
 
-    /// What the machine lacks to admit the task, as far as is known: of cores and memory the one that lacks more.
+    /// What the machine lacks to admit the task, as far as is known: of cores and memory what lacks more.
     fn lacks(&self, task: &Task, machine: &Machine) -> Option<Bar> {
         let asked = [machine.asked(0) + task.cores, machine.asked(1) + task.memory];
         let asked = [asked[0] / machine.size[0], asked[1] / machine.size[1]];
--- /dev/null
+++ b/fuzz/fuzz_targets/parsers.rs
@@ -0,0 +1,46 @@
+//! All parsers that read what comes from outside. The first byte chooses one; whatever follows may be refused, but
+//! must not panic, and what was read must be written and read again as the same.
+#![no_main]
+
+use libfuzzer_sys::fuzz_target;
+use tidespur_api::decode::{self, FieldValidation};
+use tidespur_api::resource::RESOURCES;
+use tidespur_api::selector::Selector;
+use tidespur_api::{quantity, validate};
+use tidespur_link::{Decoder, ToEdge, ToPlanner, encode};
+
+fn frames<T: serde::Serialize + serde::de::DeserializeOwned + PartialEq + std::fmt::Debug>(data: &[u8]) {
+    let mut decoder = Decoder::default();
+    // In two parts, as a socket may bring it.
+    let (a, b) = data.split_at(data.len() / 2);
+    decoder.feed(a);
+    let _ = decoder.message::<T>();
+    decoder.feed(b);
+    while let Ok(Some(message)) = decoder.message::<T>() {
+        let Ok(bytes) = encode(&message) else { continue };
+        let mut again = Decoder::default();
+        again.feed(&bytes);
+        assert!(matches!(again.message::<T>(), Ok(Some(_))));
+    }
+}
+
+fuzz_target!(|data: &[u8]| {
+    let Some((first, data)) = data.split_first() else { return };
+    let text = std::str::from_utf8(data).unwrap_or("");
+    match first % 5 {
+        0 => frames::<ToEdge>(data),
+        1 => frames::<ToPlanner>(data),
+        2 => {
+            if let Ok(amount) = quantity::parse(text) {
+                assert!(amount.is_finite() && amount >= 0.0);
+            }
+        }
+        3 => drop(Selector::parse(Some(text), Some(text))),
+        _ => {
+            let resource = &RESOURCES[data.len() % RESOURCES.len()];
+            if let Ok((object, _)) = decode::object(resource, data, FieldValidation::default()) {
+                let _ = validate::check(resource, &object, None, &[]);
+            }
+        }
+    }
+});
