Every task that waits carries its reasons: record, condition, Event, explain, metrics

Package tidespur-waiting (no I/O): reasons by source, diagnoses shared by equal tasks, a teller at the planner (changes only, bounded and rate-limited), a ledger at the edge (bounded history, what is written when, the fleet's view). The planner asks the policy's explain for each shape four times a second; the edge adds its own reasons, writes PodScheduled=False/Unschedulable and one FailedScheduling Event with count and series, serves /debug/waits and /metrics.

--- a/crates/api/src/meta.rs
+++ b/crates/api/src/meta.rs
@@ -88,6 +88,12 @@
     jiff::Timestamp::from_second(unix as i64).map(|t| t.to_string()).unwrap_or_default()
 }
 
+/// A point in time as the published `MicroTime` writes it.
+pub fn timestamp_micro(unix: f64) -> String {
+    let stamp = jiff::Timestamp::from_microsecond((unix * 1e6) as i64);
+    stamp.map(|t| format!("{t:.6}")).unwrap_or_default()
+}
+
 /// The Unix seconds of a published timestamp.
 pub fn unix(text: &str) -> Option<f64> {
     text.parse::<jiff::Timestamp>().ok().map(|t| t.as_millisecond() as f64 / 1e3)
--- a/crates/api/src/names.rs
+++ b/crates/api/src/names.rs
@@ -41,6 +41,9 @@
 /// Published label: uid of the Job.
 pub const JOB_UID: &str = "batch.kubernetes.io/controller-uid";
 
+/// Condition of a Job: its owner's side waits, pausing before asking again or settling what may run.
+pub const WAITING: &str = "placement.tidespur.dev/Waiting";
+
 /// Pod status reason: not placed; asking again is harmless.
 pub const REFUSED: &str = "PlacementRefused";
 /// Pod status reason: no claim whether it ran.
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -48,6 +48,9 @@
     /// In all namespaces
     #[arg(short = 'A', long)]
     all_namespaces: bool,
+    /// Only Pods that wait for a node, the oldest first
+    #[arg(long, conflicts_with = "watch")]
+    waiting: bool,
 }
 
 #[derive(Args)]
@@ -164,10 +167,22 @@
     let label = options.selector.as_ref().map(|s| format!("labelSelector={}", encode(s))).unwrap_or_default();
     smol::block_on(async {
         let found = target.call(Method::GET, &format!("{}?{label}", r.path(space, name)), "", None).await?;
-        let items = match found.get("items").and_then(Value::as_array) {
+        let mut items = match found.get("items").and_then(Value::as_array) {
             Some(items) => items.clone(),
             None => vec![found.clone()],
         };
+        if options.waiting {
+            if r.kind != "Pod" {
+                return Err("--waiting is for pods".into());
+            }
+            items.retain(|pod| {
+                let unplaced = meta::text(pod, &["spec", "nodeName"]).is_empty();
+                unplaced && meta::text(pod, &["status", "phase"]) == "Pending"
+            });
+            // Versions grow with time, so they order those of one second too.
+            let made = |pod: &Value| meta::text(pod, &["metadata", "creationTimestamp"]).to_owned();
+            items.sort_by_key(|pod| (made(pod), meta::version(pod)));
+        }
         let wide = options.output == Output::Wide;
         match options.output {
             Output::Json => say!("{}", serde_json::to_string_pretty(&found).unwrap_or_default()),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod children;
 mod client;
 mod commands;
+mod explain;
 mod show;
 mod up;
 
@@ -42,6 +43,8 @@
     Get(commands::GetOptions),
     /// Show one object with its events
     Describe(commands::DescribeOptions),
+    /// Tell why a Job or Pod waits, or what holds work back in the whole fleet
+    Explain(explain::ExplainOptions),
     /// Delete an object
     Delete(commands::DeleteOptions),
     /// Let a node take nothing new
@@ -91,6 +94,7 @@
         Command::Apply(options) => commands::apply(&target, options),
         Command::Get(options) => commands::get(&target, options),
         Command::Describe(options) => commands::describe(&target, options),
+        Command::Explain(options) => explain::explain(&target, options),
         Command::Delete(options) => commands::delete(&target, options),
         Command::Cordon(options) => commands::cordon(&target, &options.node, true),
         Command::Uncordon(options) => commands::cordon(&target, &options.node, false),
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -96,7 +96,11 @@
             ],
             "Pod" => {
                 let class = text(&["spec", "priorityClassName"]);
-                vec![class, format!("{cores}"), format!("{memory}Gi"), text(&["status", "message"])]
+                let conditions = meta::at(object, &["status", "conditions"]).as_array();
+                let waits = conditions.into_iter().flatten().find(|c| c["reason"] == "Unschedulable");
+                let message =
+                    waits.map_or(text(&["status", "message"]), |c| meta::text(c, &["message"]).to_owned());
+                vec![class, format!("{cores}"), format!("{memory}Gi"), message]
             }
             "Node" => vec![note(names::ADDRESS), note(names::UP_SINCE)],
             _ => vec![],
--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -460,3 +460,75 @@
         .unwrap();
     running.until("the Job is complete", async || complete(&jobs.get("later").await.unwrap()).then_some(()));
 }
+
+#[test]
+fn a_waiting_pod_tells_its_owner_why_and_follows_what_changes() {
+    let running = start(2, 1, |_, _| {});
+    let (pods, nodes) = (running.pods(), Api::<Node>::all(running.client()));
+    let large = json!({"metadata": {"name": "large", "annotations": {"placement.tidespur.dev/give-up-seconds": "60"}},
+        "spec": {"priorityClassName": "slot-abgleich", "containers": [{"name": "m",
+            "resources": {"requests": {"cpu": "400", "memory": "1Gi"}}}]}});
+    let large: Pod = serde_json::from_value(large).unwrap();
+    running.runtime.block_on(pods.create(&PostParams::default(), &large)).unwrap();
+    let message = async || {
+        let pod = pods.get("large").await.unwrap();
+        let conditions = pod.status?.conditions?;
+        let waits = conditions.into_iter().find(|c| c.type_ == "PodScheduled" && c.status == "False")?;
+        assert_eq!(waits.reason.as_deref(), Some("Unschedulable"));
+        waits.message
+    };
+    let told = running.until("the condition tells", message);
+    assert_eq!(told, "0/2 nodes are available: 2 no cores");
+    running.runtime.block_on(nodes.cordon("node-00")).unwrap();
+    running.until("the condition follows", async || {
+        let told = message().await?;
+        (told == "0/2 nodes are available: 1 draining, 1 no cores").then_some(())
+    });
+    // One Event, whose count has grown.
+    let events: Api<k8s_openapi::api::core::v1::Event> = Api::namespaced(running.client(), "default");
+    let about = ListParams::default().fields("reason=FailedScheduling");
+    let list = running.runtime.block_on(events.list(&about)).unwrap().items;
+    assert_eq!(list.len(), 1);
+    assert!(list[0].count.unwrap() >= 2 && list[0].series.is_some(), "{:?}", list[0]);
+    // The record: the reasons over time, and the nearest node.
+    let (code, record) = running.send("GET", "/debug/waits/default/large", "", "");
+    assert_eq!(code, 200);
+    let cores = record["spans"].as_array().unwrap().iter().find(|span| span["code"] == "Cores").unwrap();
+    assert_eq!((&cores["source"], &cores["over"]), (&json!("policy"), &json!(false)));
+    assert!(record["hint"].as_str().unwrap().contains("cores more free on node-01"), "{record}");
+    let (_, fleet) = running.send("GET", "/debug/waits", "", "");
+    let reasons: Vec<&str> =
+        fleet["reasons"].as_array().unwrap().iter().map(|line| line["reason"].as_str().unwrap()).collect();
+    assert_eq!(reasons, ["Draining", "Cores"]);
+    assert!(!fleet.to_string().contains("large"), "the fleet's view has no names of Pods");
+    let metrics = running.raw(b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let line = r#"tidespur_waiting_tasks{class="slot-abgleich",namespace="default",reason="Cores",source="policy"} 1"#;
+    assert!(metrics.contains(line), "{metrics}");
+    // Deleted while it is asked about: the last record still answers, as past.
+    running.runtime.block_on(pods.delete("large", &DeleteParams::default())).unwrap();
+    running.until("it waits no longer", async || {
+        let (code, record) = running.send("GET", "/debug/waits/default/large", "", "");
+        (code == 200 && record["codes"] == json!([])).then_some(())
+    });
+}
+
+#[test]
+fn a_task_that_no_planner_takes_says_so_and_the_planner_that_comes_back_takes_it() {
+    let mut running = start(2, 1, |_, _| {});
+    running.cluster.planners[0].pause(true);
+    let pod = json!({"metadata": {"name": "early", "annotations": {"placement.tidespur.dev/give-up-seconds": "60"}},
+        "spec": {"containers": [{"name": "m"}]}});
+    let pods = running.pods();
+    let pod: Pod = serde_json::from_value(pod).unwrap();
+    running.runtime.block_on(pods.create(&PostParams::default(), &pod)).unwrap();
+    let codes = async || running.send("GET", "/debug/waits/default/early", "", "").1["codes"].clone();
+    running.until("silence is told", async || (codes().await == json!(["PlannersSilent"])).then_some(()));
+    running.until("loss is told", async || (codes().await == json!(["NoPlanner"])).then_some(()));
+    running.cluster.planners[0].pause(false);
+    // Never offered, so it was kept, and it is placed now: not answered as unknown.
+    running.until("it is placed", async || {
+        let pod = pods.get("early").await.unwrap();
+        assert!(!matches!(outcome(&pod), Some("refused" | "failed")), "{pod:?}");
+        outcome(&pod)
+    });
+}
--- a/crates/controller/src/job.rs
+++ b/crates/controller/src/job.rs
@@ -33,6 +33,10 @@
     pub succeeded: u32,
     /// Failed runs.
     pub failed: u32,
+    /// Pods that will be asked for again after a pause.
+    pub backing_off: u32,
+    /// Pods that may run though they were answered as unknown: it is being found out.
+    pub settling: u32,
     /// As a whole.
     pub phase: Phase,
     /// When it began.
@@ -331,15 +335,21 @@
     }
 
     fn status(&self) -> JobStatus {
-        let (mut active, mut ready) = (0, 0);
+        let (mut active, mut ready, mut backing_off, mut settling) = (0, 0, 0, 0);
         for slot in self.slots.values() {
-            if let State::Active { pod } = &slot.state {
-                active += 1;
-                ready += u32::from(pod.phase == PodPhase::Running);
+            match &slot.state {
+                State::Active { pod } => {
+                    active += 1;
+                    ready += u32::from(pod.phase == PodPhase::Running);
+                }
+                State::Idle { returned, adopt: None, .. } => backing_off += u32::from(*returned),
+                State::Settling { .. } => settling += 1,
+                State::Idle { .. } | State::Making => {}
             }
         }
         let (succeeded, failed, phase) = (self.succeeded, self.failed, self.phase);
-        JobStatus { active, ready, succeeded, failed, phase, started: self.started, ended: self.ended }
+        let (started, ended) = (self.started, self.ended);
+        JobStatus { active, ready, succeeded, failed, backing_off, settling, phase, started, ended }
     }
 
     pub(crate) fn next_wake(&self) -> Option<f64> {
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -4,14 +4,16 @@
 use crate::desk::{self, Desk, PlannerId};
 use crate::garbage::Garbage;
 use crate::pods;
+use crate::waits::Waits;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use tidespur_api::resource::{EVENTS, JOBS, NODES, PODS};
 use tidespur_api::{Object, meta, names, task};
 use tidespur_config::{Config, Effect};
 use tidespur_controller::{self as controller, Controller, JobView, PodView, SlotId};
 use tidespur_link::{ToEdge, ToPlanner};
 use tidespur_store::{ChangeKind, Expect, Follower, Store};
+use tidespur_waiting::Ledger;
 
 /// What the edge is told.
 #[derive(Clone, Debug)]
@@ -49,6 +51,7 @@
     known: BTreeMap<String, (String, String)>,
     ended: Garbage,
     events: Garbage,
+    waits: Waits,
 }
 
 impl Core {
@@ -83,7 +86,17 @@
         );
         let (jobs, pods) = (Follower::new(JOBS), Follower::new(PODS));
         let (ended, events) = (Garbage::new(PODS, ENDED_MOST), Garbage::new(EVENTS, EVENTS_MOST));
-        Self { config, desk, controller, jobs, pods, known: BTreeMap::new(), ended, events }
+        Self {
+            config,
+            desk,
+            controller,
+            jobs,
+            pods,
+            known: BTreeMap::new(),
+            ended,
+            events,
+            waits: Waits::new(),
+        }
     }
 
     /// Tasks without an answer.
@@ -91,6 +104,11 @@
         self.desk.open()
     }
 
+    /// The records of what waits.
+    pub fn ledger(&self) -> Arc<Mutex<Ledger>> {
+        self.waits.ledger()
+    }
+
     /// How often it fell behind its own store's history.
     pub fn behind(&self) -> u64 {
         self.jobs.behind() + self.pods.behind()
@@ -103,7 +121,10 @@
 
     /// When to step next though nothing happens.
     pub fn next_wake(&self) -> Option<f64> {
-        [self.desk.next_wake(), self.controller.next_wake()].into_iter().flatten().min_by(f64::total_cmp)
+        [self.desk.next_wake(), self.controller.next_wake(), self.waits.next_wake(&self.desk)]
+            .into_iter()
+            .flatten()
+            .min_by(f64::total_cmp)
     }
 
     /// Takes in what came and all that changed in the store, until nothing more follows from it.
@@ -120,11 +141,13 @@
                 Input::Kick => {}
                 Input::PlannerUp(id) => desk_events.push(desk::Event::PlannerUp(id)),
                 Input::PlannerLost(id) => desk_events.push(desk::Event::PlannerLost(id)),
+                Input::Said(id, ToEdge::Waits(words)) => self.waits.told(now, id, words, &self.desk),
                 Input::Said(id, message) => desk_events.push(desk::Event::Said(id, message)),
                 Input::Nodes(list) => nodes_whole(list, store, now),
                 Input::Node(node, deleted) => node_change(node, deleted, store, now),
             }
         }
+        self.waits.look(now, &self.desk, &self.known, store, &mut self.events);
         let mut owner_events = VecDeque::new();
         loop {
             self.read_jobs(store, &mut owner_events);
@@ -175,6 +198,7 @@
             let (uid, view) = (meta::uid(pod).to_owned(), PodView::read(pod));
             if change.kind == ChangeKind::Deleted {
                 if self.known.remove(&uid).is_some() {
+                    self.waits.close(&uid);
                     desk.push(desk::Event::Cancel(uid));
                 }
                 owner.push_back(controller::Event::PodGone(view));
@@ -201,6 +225,7 @@
                     let class =
                         self.config.class.get(&ask.class).or_else(|| self.config.class.values().next());
                     let within = ask.within.or(class.map(|class| class.deadline)).unwrap_or(0.0);
+                    self.waits.open(now, &ask, meta::name(pod));
                     let safe = class.is_some_and(|class| class.effect == Effect::Safe);
                     desk.push(desk::Event::Submit(ask, now + within, safe));
                 }
@@ -219,15 +244,18 @@
         match action {
             desk::Action::Tell(planner, message) => out.push((planner, message)),
             desk::Action::Placed(uid, node) => {
+                self.waits.close(&uid);
                 self.change(&uid, store, |pod| pods::placed(pod, &node, now));
                 self.tell(&uid, store, "Normal", "Scheduled", &format!("assigned to {node}"), now);
             }
             desk::Action::Refused(uid, why) => {
+                self.waits.close(&uid);
                 self.change(&uid, store, |pod| pods::unplaced(pod, names::REFUSED, &why, now));
                 self.tell(&uid, store, "Warning", "FailedScheduling", &why, now);
                 self.known.remove(&uid);
             }
             desk::Action::Failed(uid, why) => {
+                self.waits.close(&uid);
                 self.change(&uid, store, |pod| pods::unplaced(pod, names::UNKNOWN, &why, now));
                 self.tell(&uid, store, "Warning", "FailedScheduling", &why, now);
                 self.known.remove(&uid);
--- a/crates/edge/src/desk.rs
+++ b/crates/edge/src/desk.rs
@@ -7,6 +7,7 @@
 use std::hash::Hasher;
 use tidespur_api::task::Ask;
 use tidespur_link::{End, Found, ToEdge, ToPlanner};
+use tidespur_waiting::Code;
 
 /// A connection to a planner.
 pub type PlannerId = u64;
@@ -142,6 +143,25 @@
         self.open
     }
 
+    /// Whether this planner has the task and may offer it.
+    pub fn is_with(&self, uid: &str, planner: PlannerId) -> bool {
+        self.tasks.get(uid).is_some_and(|task| task.stage == Stage::With(planner))
+    }
+
+    /// Tasks that no planner has taken, and why.
+    pub fn untaken(&self) -> impl Iterator<Item = (&str, Code)> {
+        let code = match () {
+            () if self.planners.is_empty() => Code::NoPlanner,
+            () if self.planners.values().all(|planner| planner.silent) => Code::PlannersSilent,
+            () => Code::PlannersFull,
+        };
+        self.tasks.iter().filter_map(move |(uid, task)| match task.stage {
+            Stage::Queued => Some((uid.as_str(), code)),
+            Stage::Asked(..) => Some((uid.as_str(), Code::PlannersSilent)),
+            _ => None,
+        })
+    }
+
     /// Planners that are here.
     pub fn planners(&self) -> usize {
         self.planners.len()
@@ -499,6 +519,6 @@
         | ToEdge::Runs { uid }
         | ToEdge::Ended { uid, .. }
         | ToEdge::Located { uid, .. } => uid,
-        ToEdge::Hello { .. } | ToEdge::Ping => "",
+        ToEdge::Hello { .. } | ToEdge::Ping | ToEdge::Waits(_) => "",
     }
 }
--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -1,17 +1,20 @@
 //! What the edge adds to the plain API.
 
 use crate::core::{Input, owner_uid};
+use crate::metrics;
+use crate::waits::lock;
 use async_channel::Sender;
 use hyper::{HeaderMap, Method};
 use serde_json::json;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use tidespur_api::resource::{EVENTS, JOBS, NAMESPACES, PODS};
 use tidespur_api::status::Cause;
 use tidespur_api::{ApiError, Object, Resource, meta, names};
 use tidespur_net::{Client, NetError, Recorder};
 use tidespur_rest::{DeleteOptions, Hooks, Seen, Verb};
 use tidespur_store::{Expect, Store};
+use tidespur_waiting::{Code, Held, Ledger};
 
 pub(crate) struct EdgeHooks {
     pub(crate) classes: Vec<String>,
@@ -21,6 +24,8 @@
     pub(crate) inputs: Sender<Input>,
     pub(crate) register: Client,
     pub(crate) recorder: Recorder,
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
+    pub(crate) behind: AtomicU64,
 }
 
 impl Hooks for EdgeHooks {
@@ -150,6 +155,41 @@
         }
     }
 
+    /// `/debug/waits`: why work waits. `/debug/waits/NAMESPACE/POD` is one Pod's record, `/debug/waits/NAMESPACE` all
+    /// of a namespace, and the plain path the fleet's view, in counts alone: owners see only their own names.
+    fn other(&self, method: &str, path: &str, _: &[u8]) -> Option<Result<Object, ApiError>> {
+        let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
+        let ["debug", "waits", rest @ ..] = parts.as_slice() else { return None };
+        if method != "GET" {
+            return Some(Err(ApiError::method()));
+        }
+        let ledger = lock(&self.ledger);
+        Some(match rest {
+            [] => {
+                let line = |((class, namespace, code), held): (_, Held)| {
+                    let code: Code = code;
+                    json!({"class": class, "namespace": namespace, "reason": code, "source": code.source(),
+                        "words": code.words(), "tasks": held.tasks, "cores": held.cores, "memory": held.memory,
+                        "oldest": held.oldest})
+                };
+                Ok(json!({"reasons": ledger.fleet().into_iter().map(line).collect::<Vec<_>>(),
+                    "waiting": ledger.len(), "withoutRecord": ledger.without_record()}))
+            }
+            [space] => Ok(json!({"items": ledger.all(space).map(|(_, record)| record).collect::<Vec<_>>()})),
+            [space, pod] => match ledger.of(space, pod) {
+                Some(record) => Ok(json!(record)),
+                None => Err(ApiError::not_found("waits", pod)),
+            },
+            _ => Err(ApiError::no_such_path()),
+        })
+    }
+
+    fn text(&self, path: &str) -> Option<String> {
+        let (open, planners) = (self.open.load(Ordering::Relaxed), self.planners.load(Ordering::Relaxed));
+        let behind = self.behind.load(Ordering::Relaxed);
+        (path == "/metrics").then(|| metrics::text(&lock(&self.ledger), open, planners, behind))
+    }
+
     fn written(&self) {
         // A full queue is being worked through, and the store is read after each step.
         let _ = self.inputs.try_send(Input::Kick);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod desk;
 mod garbage;
 mod hooks;
+mod metrics;
 mod pods;
 pub mod run;
+mod waits;
 
 pub use run::{Options, run};
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,66 @@
+//! What `/metrics` shows of waiting work, in the published text format. Labels are bounded: classes and namespaces
+//! beyond a number count as `other`.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::{family::Family, gauge::Gauge};
+use prometheus_client::registry::Registry;
+use std::collections::BTreeMap;
+use std::sync::atomic::AtomicU64;
+use tidespur_waiting::Ledger;
+
+/// Namespaces that are shown by name.
+const NAMESPACES_MOST: usize = 50;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Labels {
+    class: String,
+    namespace: String,
+    reason: String,
+    source: String,
+}
+
+type Gauges = Family<Labels, Gauge<f64, AtomicU64>>;
+
+/// The text.
+pub(crate) fn text(ledger: &Ledger, open: usize, planners: usize, behind: u64) -> String {
+    let mut registry = Registry::with_prefix("tidespur");
+    let (tasks, cores, memory) = (Gauges::default(), Gauges::default(), Gauges::default());
+    registry.register(
+        "waiting_tasks",
+        "Tasks that a reason holds back; a task counts under each",
+        tasks.clone(),
+    );
+    registry.register("waiting_cores", "Cores that they ask for", cores.clone());
+    registry.register("waiting_memory_units", "Memory units that they ask for", memory.clone());
+    let plain = |registry: &mut Registry, name: &str, help: &str, value: f64| {
+        let gauge: Gauge<f64, AtomicU64> = Gauge::default();
+        gauge.set(value);
+        registry.register(name, help, gauge);
+    };
+    plain(&mut registry, "open_tasks", "Tasks without an answer", open as f64);
+    plain(&mut registry, "planners", "Planners that are connected", planners as f64);
+    plain(&mut registry, "behind", "Times the edge fell behind its own history", behind as f64);
+    let unrecorded = ledger.without_record() as f64;
+    plain(&mut registry, "waiting_without_record", "Tasks beyond the most records that are kept", unrecorded);
+    let mut sums: BTreeMap<(String, String, tidespur_waiting::Code), [f64; 3]> = BTreeMap::new();
+    let mut named = std::collections::BTreeSet::new();
+    for ((class, namespace, code), held) in ledger.fleet() {
+        let shown = named.contains(&namespace) || named.len() < NAMESPACES_MOST;
+        let namespace = if shown { namespace } else { "other".to_owned() };
+        named.insert(namespace.clone());
+        let sum = sums.entry((class, namespace, code)).or_default();
+        let held = [f64::from(held.tasks), held.cores, held.memory];
+        sum.iter_mut().zip(held).for_each(|(sum, held)| *sum += held);
+    }
+    for ((class, namespace, code), sum) in sums {
+        let source = format!("{:?}", code.source()).to_lowercase();
+        let labels = Labels { class, namespace, reason: code.name().to_owned(), source };
+        for (family, value) in [&tasks, &cores, &memory].into_iter().zip(sum) {
+            family.get_or_create(&labels).set(value);
+        }
+    }
+    let mut out = String::new();
+    // Writing to a string can't fail.
+    let _ = text::encode(&mut out, &registry);
+    out
+}
--- a/crates/edge/src/pods.rs
+++ b/crates/edge/src/pods.rs
@@ -63,6 +63,11 @@
     }
 }
 
+/// It waits, for this reason.
+pub(crate) fn waits(pod: &mut Object, message: &str, now: f64) {
+    meta::set_condition(pod, condition("PodScheduled", false, now, "Unschedulable", message));
+}
+
 /// It was not placed.
 pub(crate) fn unplaced(pod: &mut Object, reason: &str, message: &str, now: f64) {
     let status = meta::map_mut(pod, "status");
@@ -104,6 +109,23 @@
         object["status"]["conditions"] = old.clone().into();
     }
     let ended = status.ended.unwrap_or(now);
+    let (off, settling) = (status.backing_off, status.settling);
+    if off + settling > 0 || meta::has_condition(job, names::WAITING) {
+        let reason = match (settling, off) {
+            (0, 0) => "",
+            (0, _) => "BackingOff",
+            _ => "Settling",
+        };
+        let message = match (settling, off) {
+            (0, 0) => String::new(),
+            (0, _) => format!("{off} Pods are asked for again after a pause"),
+            _ => format!("{settling} Pods may still run and are being looked for; {off} pause"),
+        };
+        meta::set_condition(
+            &mut object,
+            condition(names::WAITING, off + settling > 0, now, reason, &message),
+        );
+    }
     match status.phase {
         Phase::Open if meta::has_condition(job, "Suspended") => {
             meta::set_condition(&mut object, condition("Suspended", false, now, "JobResumed", "Job resumed"));
@@ -135,6 +157,14 @@
     object["status"].take()
 }
 
+/// What an Event tells has been seen again.
+pub(crate) fn repeat_event(event: &mut Object, message: &str, count: u32, now: f64) {
+    event["message"] = message.into();
+    event["count"] = count.into();
+    event["lastTimestamp"] = meta::timestamp(now).into();
+    event["series"] = json!({"count": count, "lastObservedTime": meta::timestamp_micro(now)});
+}
+
 /// An Event about a Pod.
 pub(crate) fn event(pod: &Object, name: String, kind: &str, reason: &str, message: &str, now: f64) -> Object {
     let at = meta::timestamp(now);
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -8,7 +8,7 @@
 use smol::net::{TcpListener, TcpStream};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use tidespur_api::resource::NAMESPACES;
 use tidespur_config::Config;
@@ -97,6 +97,8 @@
         inputs: send.clone(),
         register: Client::new(&options.register, 4, vec![]),
         recorder: recorder.clone(),
+        ledger: core.ledger(),
+        behind: AtomicU64::new(0),
     };
     let limits = Limits {
         body: config.edge.body_most as usize,
@@ -146,6 +148,7 @@
             let changed = store.version() != version;
             drop(store);
             self.api.hooks.open.store(core.open(), Ordering::Relaxed);
+            self.api.hooks.behind.store(core.behind(), Ordering::Relaxed);
             self.api.hooks.planners.store(core.planners(), Ordering::Relaxed);
             let Ok(planners) = self.planners.lock() else { return };
             for (planner, message) in out {
@@ -205,6 +208,9 @@
             if message == ToEdge::Ping {
                 return None;
             }
+            if matches!(message, ToEdge::Waits(_)) {
+                return Some(Input::Said(id, message));
+            }
             self.recorder.note("planner", || json!({"planner": planner, "message": format!("{message:?}")}));
             Some(Input::Said(id, message))
         };
--- a/crates/link/src/message.rs
+++ b/crates/link/src/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use tidespur_api::task::Ask;
+use tidespur_waiting::Word;
 
 /// From an edge to a planner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -128,6 +129,8 @@
         /// How.
         end: End,
     },
+    /// Why tasks wait: what has changed, and now and then what has not.
+    Waits(Vec<Word>),
     /// Answer to `Locate`.
     Located {
         /// The question's subject.
--- a/crates/link/tests/frames.rs
+++ b/crates/link/tests/frames.rs
@@ -26,7 +26,8 @@
 #[test]
 fn a_frame_too_long_is_refused_by_its_head() {
     let mut decoder = Decoder::default();
-    decoder.feed(&[0xff, 0xff, 0xff, 0xff, 0, 1]);
+    let version = tidespur_link::VERSION.to_be_bytes();
+    decoder.feed(&[0xff, 0xff, 0xff, 0xff, version[0], version[1]]);
     assert!(matches!(decoder.message::<ToPlanner>(), Err(FrameError::TooLong(_))));
 }
 
--- a/crates/planner/src/book.rs
+++ b/crates/planner/src/book.rs
@@ -1,6 +1,6 @@
 //! The tasks that a planner knows, and where their attempts stand.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use tidespur_api::task::Ask;
 use tidespur_policy::interface::{MachineId, TaskId};
 
@@ -48,8 +48,8 @@
     pub attempts: u32,
     /// A second run does no harm.
     pub safe: bool,
-    /// What nodes said when they turned it away, last first.
-    pub last_words: String,
+    /// What nodes answered to attempts that did not place it, last ones last: node and words. Bounded by attempts.
+    pub answers: VecDeque<(String, String)>,
     /// It was told to run.
     pub runs: bool,
 }
@@ -78,7 +78,7 @@
         self.next += 1;
         let id = TaskId(self.next);
         self.by_uid.insert(ask.uid.clone(), id);
-        let known = Known { ask, edge, stage, attempts, safe, last_words: String::new(), runs: false };
+        let known = Known { ask, edge, stage, attempts, safe, answers: VecDeque::new(), runs: false };
         self.tasks.insert(id, known);
         Some(id)
     }
--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -3,6 +3,7 @@
 
 use crate::book::{Book, EdgeId, Names, Stage};
 use crate::nodes::{Held, Nodes, Standing};
+use crate::waits::Waits;
 use crate::words::{self, AtNode};
 use std::collections::{BTreeMap, BTreeSet};
 use tidespur_api::task::Ask;
@@ -130,6 +131,7 @@
     /// Taken, but not yet told to go: nothing may be offered for them.
     taken: BTreeMap<String, (EdgeId, Ask)>,
     stepped_at: f64,
+    waits: Waits,
     /// Requests of which nothing may run any more: what turns up of them at a node is deleted. Bounded.
     unwanted: BTreeMap<String, f64>,
 }
@@ -139,6 +141,8 @@
 /// After standing still for this share of the edges' patience a planner gives up all that is open. A ping is at most
 /// a quarter of the patience old when it stops, so an edge that has not given it up by then hears of it by the cut.
 const FENCE: f64 = 0.6;
+/// Answers of nodes that are kept of one task.
+const ANSWERS_MOST: usize = 4;
 
 impl Core {
     /// A planner that knows nothing yet.
@@ -156,6 +160,7 @@
             questions: Vec::new(),
             taken: BTreeMap::new(),
             stepped_at: f64::INFINITY,
+            waits: Waits::default(),
             unwanted: BTreeMap::new(),
         })
     }
@@ -178,6 +183,9 @@
             self.carry_out(now, action, out);
         }
         self.answer_questions(now, out);
+        let known = (&self.book, &self.nodes, &self.machines);
+        let told = self.waits.look(now, &self.scheduler, &self.config, known);
+        out.extend(told.into_iter().map(|(edge, message)| Output::Edge(edge, message)));
         self.unwanted.retain(|_, until| now < *until);
     }
 
@@ -451,6 +459,7 @@
     fn edge_lost(&mut self, edge: EdgeId, events: &mut Vec<Event>) {
         self.questions.retain(|question| question.edge != edge);
         self.taken.retain(|_, (of, _)| *of != edge);
+        self.waits.forget(edge);
         let its: Vec<TaskId> =
             self.book.iter().filter(|(_, known)| known.edge == edge).map(|(id, _)| id).collect();
         its.into_iter().for_each(|id| self.drop_open(id, events));
@@ -504,7 +513,10 @@
             }
             Answer::Ended(ending, words, report) => {
                 known.stage = Stage::Open;
-                known.last_words = format!("{node}: {words}");
+                if known.answers.len() >= ANSWERS_MOST {
+                    known.answers.pop_front();
+                }
+                known.answers.push_back((node.clone(), words));
                 if matches!(ending, Ending::Late | Ending::Broken(_) | Ending::Failed) && known.safe {
                     // It is sent again, so what the node shows of this attempt is one copy too many.
                     let name = (known.ask.tenant.clone(), known.ask.name.clone());
@@ -627,12 +639,12 @@
                     self.unwanted.insert(known.ask.uid.clone(), now + UNWANTED_FOR);
                     self.reap(&known.ask.uid, out);
                 }
-                let why = self.why(&known.last_words, "no node took it in time");
+                let why = self.why(known.answers.back(), "no node took it in time");
                 out.push(Output::Edge(known.edge, ToEdge::Refused { uid: known.ask.uid, why, retry_in }));
             }
             Action::Fail(task) => {
                 let Some(known) = self.book.close(task) else { return };
-                let why = self.why(&known.last_words, "an attempt may have run");
+                let why = self.why(known.answers.back(), "an attempt may have run");
                 out.push(Output::Edge(known.edge, ToEdge::Failed { uid: known.ask.uid, why }));
             }
             Action::Move(task) => {
@@ -656,11 +668,11 @@
         }
     }
 
-    fn why(&self, last_words: &str, otherwise: &str) -> String {
-        match last_words {
+    fn why(&self, last: Option<&(String, String)>, otherwise: &str) -> String {
+        match last {
             _ if !self.listed => "the register has listed no nodes yet".to_owned(),
-            "" => otherwise.to_owned(),
-            words => format!("{otherwise}; last word of a node: {words}"),
+            None => otherwise.to_owned(),
+            Some((node, words)) => format!("{otherwise}; last word of a node: {node}: {words}"),
         }
     }
 
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod core;
 pub mod nodes;
 pub mod run;
+mod waits;
 pub mod words;
 
 pub use run::{Options, run};
--- /dev/null
+++ b/crates/planner/src/waits.rs
@@ -0,0 +1,186 @@
+//! Which tasks wait here, and why, in the words of `tidespur-waiting`. The policy says what bars a machine; this only
+//! translates and counts, for tasks of one shape once.
+
+use crate::book::{Book, EdgeId, Known, Names, Stage};
+use crate::nodes::Nodes;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tidespur_config::Config;
+use tidespur_link::ToEdge;
+use tidespur_policy::Scheduler;
+use tidespur_policy::interface::{Bar, Block, TaskId, Waiting};
+use tidespur_waiting::{Code, Diagnosis, Limit, Teller, Word};
+
+/// Tasks that wait are looked at this often: no reason that is told is older than this and one way of the link,
+/// while what waits has no more shapes than [`LOOKS_MOST`] allows.
+const LOOK_EVERY: f64 = 0.25;
+/// Machines that are asked about in one look; beyond, shapes take turns.
+const LOOKS_MOST: usize = 50_000;
+/// An unchanged word is repeated this often.
+const REPEAT: f64 = 2.0;
+/// Words in one go.
+const WORDS_MOST: usize = 1_024;
+
+/// Tasks with the same chances: service, class, sizes, and the uid where earlier attempts bind it.
+type Shape = (String, String, u64, u64, Option<String>);
+
+/// What is known of a shape, and when it was found out.
+#[derive(Debug)]
+struct Found {
+    at: f64,
+    diagnosis: Arc<Diagnosis>,
+    until: f64,
+    next_look: f64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Waits {
+    look_at: f64,
+    tellers: BTreeMap<EdgeId, Teller>,
+    shapes: BTreeMap<Shape, Found>,
+}
+
+impl Waits {
+    /// An edge is lost, and what it was told with it.
+    pub(crate) fn forget(&mut self, edge: EdgeId) {
+        self.tellers.remove(&edge);
+    }
+
+    /// Looks at what waits, if that is due.
+    pub(crate) fn look(
+        &mut self,
+        now: f64,
+        scheduler: &Scheduler,
+        config: &Config,
+        (book, nodes, names): (&Book, &Nodes, &Names),
+    ) -> Vec<(EdgeId, ToEdge)> {
+        if now < self.look_at {
+            return vec![];
+        }
+        self.look_at = now + LOOK_EVERY;
+        let waits: Vec<(TaskId, &Known)> =
+            book.iter().filter(|(_, known)| matches!(known.stage, Stage::Open | Stage::Out { .. })).collect();
+        if waits.is_empty() && self.tellers.is_empty() {
+            return vec![];
+        }
+        self.refresh(now, scheduler, config, &waits, nodes, names);
+        let mut words: BTreeMap<EdgeId, Vec<Word>> =
+            self.tellers.keys().map(|edge| (*edge, vec![])).collect();
+        for (_, known) in waits {
+            let out = match &known.stage {
+                Stage::Out { node, .. } => Some(node.clone()),
+                _ => None,
+            };
+            let found = self.shapes.get(&shape(known));
+            if found.is_none() && out.is_none() {
+                continue;
+            }
+            words.entry(known.edge).or_default().push(Word {
+                uid: known.ask.uid.clone(),
+                diagnosis: found.map(|found| found.diagnosis.clone()).unwrap_or_default(),
+                out,
+                answers: known.answers.iter().cloned().collect(),
+                sendable_for: found.map_or(0.0, |found| found.until - now),
+                next_look: found.map_or(0.0, |found| (found.next_look - now).max(0.0)),
+            });
+        }
+        let mut out = Vec::new();
+        for (edge, words) in words {
+            let new = || Teller::new(2.0 * LOOK_EVERY, REPEAT, WORDS_MOST);
+            let teller = self.tellers.entry(edge).or_insert_with(new);
+            let due = teller.step(now, words);
+            if teller.is_empty() {
+                self.tellers.remove(&edge);
+            }
+            if !due.is_empty() {
+                out.push((edge, ToEdge::Waits(due)));
+            }
+        }
+        out
+    }
+
+    /// Finds out anew about each shape that waits, those found out longest ago first, within the bound.
+    fn refresh(
+        &mut self,
+        now: f64,
+        scheduler: &Scheduler,
+        config: &Config,
+        waits: &[(TaskId, &Known)],
+        nodes: &Nodes,
+        names: &Names,
+    ) {
+        let mut wanted: BTreeMap<Shape, TaskId> = BTreeMap::new();
+        for (id, known) in waits.iter().filter(|(_, known)| known.stage == Stage::Open) {
+            wanted.entry(shape(known)).or_insert(*id);
+        }
+        self.shapes.retain(|shape, _| wanted.contains_key(shape));
+        let at = |shape: &Shape| self.shapes.get(shape).map_or(f64::NEG_INFINITY, |found| found.at);
+        let mut order: Vec<(f64, Shape, TaskId)> =
+            wanted.into_iter().map(|(shape, id)| (at(&shape), shape, id)).collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut left = LOOKS_MOST;
+        for (_, shape, id) in order {
+            let Some(waiting) = scheduler.explain(now, id) else { continue };
+            let class = config.class.get(&shape.1).or_else(|| config.class.values().next());
+            let limit = class.and_then(|class| {
+                let place = format!("{:?}", class.spread?).to_lowercase();
+                Some(Limit { place, most: class.spread_most })
+            });
+            let diagnosis = diagnose(now, &waiting, limit, nodes, names);
+            let diagnosis = match self.shapes.get(&shape) {
+                Some(old) if *old.diagnosis == diagnosis => old.diagnosis.clone(),
+                _ => Arc::new(diagnosis),
+            };
+            let (until, next_look) = (waiting.until, waiting.next_look);
+            self.shapes.insert(shape, Found { at: now, diagnosis, until, next_look });
+            left = left.saturating_sub(waiting.machines.max(1));
+            if left == 0 {
+                return;
+            }
+        }
+    }
+}
+
+fn shape(known: &Known) -> Shape {
+    let ask = &known.ask;
+    // What earlier attempts bind, and how long it can be sent, is its own.
+    let own = (known.attempts > 0 && !known.safe).then(|| ask.uid.clone());
+    (ask.service.clone(), ask.class.clone(), ask.cores.to_bits(), ask.memory.to_bits(), own)
+}
+
+/// The policy's words as a diagnosis.
+fn diagnose(now: f64, waiting: &Waiting, limit: Option<Limit>, nodes: &Nodes, names: &Names) -> Diagnosis {
+    let block = waiting.block.map(|block| match block {
+        Block::Attempts => Code::AttemptsUsed,
+        Block::MayHaveRun => Code::MayHaveRun,
+        Block::Window => Code::WindowOver,
+        Block::Late => Code::GivesUp,
+    });
+    let mut diagnosis = Diagnosis { nodes: waiting.machines as u32, block, ..Diagnosis::default() };
+    for (machine, bar) in &waiting.bars {
+        let node = names.of(*machine).unwrap_or("");
+        let zone = nodes.0.get(node).map_or("", |node| node.zone.as_str());
+        let (code, short) = match *bar {
+            Bar::Unlisted => (Code::Unlisted, 0.0),
+            Bar::Draining => (Code::Draining, 0.0),
+            Bar::Kind => (Code::WrongKind, 0.0),
+            Bar::Group => (Code::OutsideGroup, 0.0),
+            Bar::Cold => (Code::ColdBudget, 0.0),
+            Bar::Spread(_) => (Code::Spread, 0.0),
+            Bar::Aside(until) => (Code::SetAside, (until - now).max(0.0)),
+            Bar::Line => (Code::Line, 0.0),
+            Bar::Cores(short) => (Code::Cores, short),
+            Bar::Memory(short) => (Code::Memory, short),
+        };
+        // Nodes that left the list are no nodes any more, as far as an owner is concerned.
+        if code == Code::Unlisted {
+            diagnosis.nodes = diagnosis.nodes.saturating_sub(1);
+            continue;
+        }
+        diagnosis.bar(node, zone, code, short);
+    }
+    if diagnosis.bars.contains_key(&Code::Spread) {
+        diagnosis.limit = limit;
+    }
+    diagnosis
+}
--- a/crates/planner/tests/core.rs
+++ b/crates/planner/tests/core.rs
@@ -287,3 +287,48 @@
     assert!(out.contains(&Output::Cut) && offers(&out) == 0, "{out:?}");
     assert_eq!(world.until(3.0, |o| matches!(o, Output::Offer { .. }).then_some(())), None);
 }
+
+fn waits(out: &[Output]) -> Vec<tidespur_waiting::Word> {
+    let words = out.iter().filter_map(|o| match o {
+        Output::Edge(1, ToEdge::Waits(words)) => Some(words.clone()),
+        _ => None,
+    });
+    words.flatten().collect()
+}
+
+#[test]
+fn an_edge_is_told_why_its_tasks_wait_and_told_anew_when_that_changes() {
+    use tidespur_waiting::Code;
+    let mut world = World::new(&["a"]);
+    let large = |uid: &str| Ask { cores: 500.0, ..ask(uid, "termin-web") };
+    for uid in ["x", "y"] {
+        world.step(vec![Input::Edge(1, ToPlanner::Place(Ask { service: "default/s".into(), ..large(uid) }))]);
+        world.step(vec![Input::Edge(1, ToPlanner::Go { uid: uid.into(), within: 30.0 })]);
+    }
+    world.now += 0.3;
+    let words = waits(&world.step(vec![Input::Tick]));
+    assert_eq!(words.iter().map(|w| w.uid.as_str()).collect::<Vec<_>>(), ["x", "y"]);
+    assert!(std::sync::Arc::ptr_eq(&words[0].diagnosis, &words[1].diagnosis), "equal tasks share one");
+    assert_eq!(words[0].codes(), [Code::Cores]);
+    assert_eq!(words[0].diagnosis.message(), "0/1 nodes are available: 1 no cores");
+    // 24 cores, of which 2.5 times 0.97 are planned with.
+    let nearest = words[0].diagnosis.nearest.clone().unwrap();
+    assert!((nearest.short - (500.0 - 24.0 * 2.5 * 0.97)).abs() < 1e-6, "{nearest:?}");
+    world.now += 0.3;
+    assert_eq!(waits(&world.step(vec![Input::Tick])), [], "nothing has changed");
+    let mut drains = node("a");
+    drains["spec"] = json!({"unschedulable": true});
+    world.step(vec![Input::ListChange(drains, false)]);
+    world.now += 0.3;
+    let words = waits(&world.step(vec![Input::Tick]));
+    assert_eq!(words.iter().map(tidespur_waiting::Word::codes).collect::<Vec<_>>(), [[Code::Draining]; 2]);
+    // An edge that was lost and is back knows nothing: it is told of its new tasks as if for the first time.
+    world.step(vec![Input::EdgeLost(1)]);
+    world.step(vec![Input::Edge(1, ToPlanner::Place(large("z")))]);
+    world.step(vec![Input::Edge(1, ToPlanner::Go { uid: "z".into(), within: 30.0 })]);
+    world.now += 0.3;
+    assert_eq!(
+        waits(&world.step(vec![Input::Tick])).iter().map(|w| w.uid.as_str()).collect::<Vec<_>>(),
+        ["z"]
+    );
+}
--- a/crates/rest/src/handle.rs
+++ b/crates/rest/src/handle.rs
@@ -21,6 +21,14 @@
         let (head, incoming) = request.into_parts();
         let method = head.method.as_str().to_owned();
         let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+        if head.method == Method::GET
+            && let Some(text) = api.hooks.text(head.uri.path())
+        {
+            let mut response = Response::new(body::full(text));
+            let media = "text/plain; version=1.0.0; charset=utf-8";
+            response.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(media));
+            return response;
+        }
         let body = body::read(incoming, api.limits.body, api.limits.body_timeout).await;
         let outcome = match body {
             Ok(body) => respond(api, &head, body).await,
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -109,6 +109,10 @@
     fn other(&self, _method: &str, _path: &str, _body: &[u8]) -> Option<Result<Object, ApiError>> {
         None
     }
+    /// Plain text that is served at a path, such as `/metrics`.
+    fn text(&self, _path: &str) -> Option<String> {
+        None
+    }
     /// Waits as long as nothing may be answered to this caller, if it is cut off.
     fn gate(&self, _method: &hyper::Method, _headers: &hyper::HeaderMap) -> impl Future<Output = ()> + Send {
         async {}
--- /dev/null
+++ b/crates/waiting/tests/waiting.rs
@@ -0,0 +1,171 @@
+//! Records of why work waits: what travels, what is kept, what is written.
+
+use proptest::prelude::*;
+use std::sync::Arc;
+use tidespur_waiting::*;
+
+fn diagnosis(nodes: u32, bars: &[(Code, u32)]) -> Arc<Diagnosis> {
+    Arc::new(Diagnosis { nodes, bars: bars.iter().copied().collect(), ..Diagnosis::default() })
+}
+
+fn word(uid: &str, diagnosis: &Arc<Diagnosis>) -> Word {
+    Word {
+        uid: uid.into(),
+        diagnosis: diagnosis.clone(),
+        out: None,
+        answers: vec![],
+        sendable_for: 5.0,
+        next_look: 0.05,
+    }
+}
+
+fn record(pod: &str) -> Record {
+    Record {
+        namespace: "default".into(),
+        pod: pod.into(),
+        service: "default/job".into(),
+        class: "termin-web".into(),
+        asks: [1.0, 2.0],
+        since: 0.0,
+        seen: 0.0,
+        codes: vec![],
+        message: String::new(),
+        hint: None,
+        word: None,
+        spans: Default::default(),
+    }
+}
+
+fn ledger() -> Ledger {
+    Ledger::new(Settings { most: 3, ..Settings::default() })
+}
+
+#[test]
+fn a_message_counts_nodes_by_what_ruled_them_out_and_the_nearest_tells_what_would_help() {
+    let mut found = Diagnosis { nodes: 6, ..Diagnosis::default() };
+    found.bar("n1", "a", Code::Draining, 0.0);
+    found.bar("n2", "a", Code::Memory, 2.5);
+    found.bar("n3", "b", Code::Memory, 7.0);
+    found.bar("n4", "b", Code::Spread, 0.0);
+    found.limit = Some(Limit { place: "rack".into(), most: 3 });
+    assert_eq!(
+        found.message(),
+        "2/6 nodes are available: 2 no memory, 1 draining, 1 rack limit of the service (3)"
+    );
+    assert_eq!(found.hint().unwrap(), "2.5 memory units more free on n2 in a");
+    assert_eq!(found.codes().first(), Some(&Code::Memory));
+    found.block = Some(Code::MayHaveRun);
+    assert!(found.message().starts_with("can't be sent"));
+}
+
+#[test]
+fn a_rack_that_fills_frees_and_fills_again_within_a_second_is_one_span_seen_twice() {
+    let mut ledger = ledger();
+    ledger.open(0.0, "u", record("p"));
+    for (at, code) in [(0.1, Code::Spread), (0.4, Code::Memory), (0.7, Code::Spread)] {
+        ledger.told(at, word("u", &diagnosis(4, &[(code, 4)])));
+    }
+    let record = ledger.of("default", "p").unwrap();
+    assert_eq!(record.codes, [Code::Spread]);
+    let spread = record.spans.iter().find(|span| span.code == Code::Spread).unwrap();
+    assert_eq!((spread.count, spread.first, spread.last, spread.over), (2, 0.1, 0.7, false));
+    let memory = record.spans.iter().find(|span| span.code == Code::Memory).unwrap();
+    assert!(memory.over && memory.last == 0.4);
+    // One write at first, then not again within a second.
+    assert_eq!(ledger.due(0.7).len(), 1);
+    ledger.told(0.9, word("u", &diagnosis(4, &[(Code::Cores, 4)])));
+    assert_eq!(ledger.due(1.0), []);
+    let write = &ledger.due(1.8)[0];
+    assert_eq!((write.code, write.count), (Code::Cores, 2));
+    assert_eq!(ledger.due(9.0), [], "nothing has changed");
+}
+
+#[test]
+fn a_nodes_refusal_stands_beside_the_policys_choice_and_is_told_apart() {
+    let mut ledger = ledger();
+    ledger.open(0.0, "u", record("p"));
+    let mut told = word("u", &diagnosis(2, &[(Code::Memory, 1), (Code::SetAside, 1)]));
+    told.answers.push(("n1".into(), "OutOfcpu".into()));
+    ledger.told(0.5, told);
+    let record = ledger.of("default", "p").unwrap();
+    let source = |code: Code| record.spans.iter().find(|span| span.code == code).map(|span| span.source);
+    assert_eq!(source(Code::NodeRefused), Some(Source::Node));
+    assert_eq!(source(Code::Memory), Some(Source::Policy));
+    assert!(record.message.ends_with("n1 answered: OutOfcpu"), "{}", record.message);
+}
+
+#[test]
+fn a_planner_that_is_lost_leaves_no_reason_of_its_own_behind() {
+    let mut ledger = ledger();
+    ledger.open(0.0, "u", record("p"));
+    ledger.told(0.5, word("u", &diagnosis(2, &[(Code::Memory, 2)])));
+    ledger.edge(0.8, "u", Code::NoPlanner);
+    let record = ledger.of("default", "p").unwrap();
+    assert_eq!((record.codes.as_slice(), record.word.is_none()), (&[Code::NoPlanner][..], true));
+    assert_eq!(record.spans.len(), 2, "the history is kept");
+}
+
+#[test]
+fn what_waits_no_longer_can_still_be_asked_about_and_bounds_hold() {
+    let mut ledger = ledger();
+    for uid in ["a", "b", "c", "d"] {
+        ledger.open(0.0, uid, record(uid));
+    }
+    assert_eq!((ledger.len(), ledger.without_record()), (3, 1));
+    let shared = diagnosis(2, &[(Code::Cores, 2)]);
+    for uid in ["a", "b", "c", "d"] {
+        ledger.told(0.5, word(uid, &shared));
+    }
+    let fleet = ledger.fleet();
+    let held = &fleet[&("termin-web".to_owned(), "default".to_owned(), Code::Cores)];
+    assert_eq!((held.tasks, held.cores, held.memory), (3, 3.0, 6.0));
+    ledger.close("a");
+    let past = ledger.of("default", "a").unwrap();
+    assert!(past.codes.is_empty() && past.spans[0].over);
+    assert_eq!(ledger.fleet().values().next().unwrap().tasks, 2);
+    // A deletion while it is being explained: late words on it change nothing.
+    ledger.told(0.6, word("a", &shared));
+    assert_eq!(ledger.len(), 2);
+}
+
+proptest! {
+    /// Whatever waits and changes: what is told is bounded, in time a reader knows the present reasons of every task
+    /// that still waits, and nothing is told of one that does not.
+    #[test]
+    fn every_present_reason_is_told_in_time(
+        changes in proptest::collection::vec((0usize..30, 0usize..4, any::<bool>()), 1..200),
+    ) {
+        let codes = [Code::Cores, Code::Memory, Code::Spread, Code::Draining];
+        let mut teller = Teller::new(0.5, 2.0, 8);
+        let mut waits: std::collections::BTreeMap<String, Word> = Default::default();
+        let mut reader: std::collections::BTreeMap<String, Word> = Default::default();
+        let mut now = 0.0;
+        let mut step = |now: f64, waits: &std::collections::BTreeMap<String, Word>| {
+            let told = teller.step(now, waits.values().cloned().collect());
+            assert!(told.len() <= 8);
+            for word in told {
+                assert!(waits.contains_key(&word.uid));
+                reader.insert(word.uid.clone(), word);
+            }
+            reader.clone()
+        };
+        for (task, code, stays) in changes {
+            now += 0.05;
+            let uid = format!("t{task}");
+            match stays {
+                true => drop(waits.insert(uid.clone(), word(&uid, &diagnosis(3, &[(codes[code], 3)])))),
+                false => drop(waits.remove(&uid)),
+            }
+            step(now, &waits);
+        }
+        // 30 tasks at 8 a look.
+        for _ in 0..8 {
+            now += 0.5;
+            step(now, &waits);
+        }
+        let reader = step(now + 0.5, &waits);
+        for (uid, word) in &waits {
+            prop_assert!(reader.get(uid).is_some_and(|told| told.diagnosis.same(&word.diagnosis)), "{}", uid);
+        }
+    }
+}
