--- a/crates/api/src/fields.rs
+++ b/crates/api/src/fields.rs
@@ -69,11 +69,8 @@
 ];
 
 /// Fields of which one value only is served.
-const JOB_ONLY: [(&str, &str); 3] = [
-    ("completionMode", "\"NonIndexed\""),
-    ("podReplacementPolicy", "\"TerminatingOrFailed\""),
-    ("manualSelector", "false"),
-];
+const JOB_ONLY: [(&str, &str); 2] =
+    [("completionMode", "NonIndexed"), ("podReplacementPolicy", "TerminatingOrFailed")];
 
 fn refused(field: String, message: &str) -> Cause {
     Cause { reason: "FieldValueNotSupported", field, message: message.to_owned() }
@@ -103,10 +100,13 @@
         "Job" => {
             known(spec, "spec", &JOB, causes);
             for (field, only) in JOB_ONLY {
-                if spec.get(field).is_some_and(|value| value.to_string() != only) {
+                if spec.get(field).is_some_and(|value| value != only) {
                     causes.push(refused(format!("spec.{field}"), &format!("only {only} is served")));
                 }
             }
+            if spec.get("manualSelector").is_some_and(|value| value != false) {
+                causes.push(refused("spec.manualSelector".into(), "only false is served"));
+            }
             let template = meta::at(spec, &["template"]);
             known(template, "spec.template", &["metadata", "spec"], causes);
             pod(meta::at(template, &["spec"]), "spec.template.spec", causes);
--- a/crates/cli/src/badday.rs
+++ b/crates/cli/src/badday.rs
@@ -4,7 +4,8 @@
 use clap::{Args, ValueEnum};
 use std::path::PathBuf;
 use std::sync::Arc;
-use tidespur_rig::checker;
+use tidespur_rig::checker::{self, Traffic};
+use tidespur_rig::oracle;
 use tidespur_rig::play::{Progress, play};
 use tidespur_rig::scenario::Scenario;
 
@@ -62,8 +63,13 @@
     let jobs = day.work.values().map(|work| work.jobs).sum();
     play(&day, layout, &records, Arc::new(Progress { jobs, ..Progress::default() }))?;
     let report = checker::judge(&records, &settings, options.seed)?;
+    let told = oracle::judge(&Traffic::read(&records)?);
     match options.report {
-        Form::Json => println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?),
+        Form::Json => {
+            let mut object = serde_json::to_value(&report).map_err(|e| e.to_string())?;
+            object["reasons"] = serde_json::to_value(&told).map_err(|e| e.to_string())?;
+            println!("{object}");
+        }
         Form::Text => {
             println!("seed {}: {} requests, {} offers", report.seed, report.submitted, report.offers);
             println!(
@@ -77,6 +83,15 @@
                 report.lost_with_edge
             );
             println!("jobs still open at the end: {}", report.jobs_open);
+            println!(
+                "reasons of waiting tasks: {} judged, {} missing, {} false",
+                told.judged,
+                told.missing.len(),
+                told.falsified.len()
+            );
+            for one in told.missing.iter().chain(&told.falsified).take(20) {
+                println!("UNTRUE {one}");
+            }
             for one in &report.breaks {
                 println!("BROKEN {}: at {:.3}: {}", one.rule, one.at, one.what);
             }
--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -514,7 +514,7 @@
 
 #[test]
 fn a_task_that_no_planner_takes_says_so_and_the_planner_that_comes_back_takes_it() {
-    let mut running = start(2, 1, |_, _| {});
+    let running = start(2, 1, |_, _| {});
     running.cluster.planners[0].pause(true);
     let pod = json!({"metadata": {"name": "early", "annotations": {"placement.tidespur.dev/give-up-seconds": "60"}},
         "spec": {"containers": [{"name": "m"}]}});
--- a/crates/config/default.hcl
+++ b/crates/config/default.hcl
@@ -86,6 +86,7 @@
 
 planner {
   planners         = 1       # how many share the nodes
+  reasons          = true    # edges are told why their tasks wait
   node_connections = 16
   step_most        = 512
   edge_patience    = 2
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -235,6 +235,8 @@
         edge_patience: f64 = 2.0,
         /// How many planners share the nodes.
         planners: u32 = 1,
+        /// Edges are told why their tasks wait.
+        reasons: bool = true,
     }
 }
 
--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -183,9 +183,11 @@
             self.carry_out(now, action, out);
         }
         self.answer_questions(now, out);
-        let known = (&self.book, &self.nodes, &self.machines);
-        let told = self.waits.look(now, &self.scheduler, &self.config, known);
-        out.extend(told.into_iter().map(|(edge, message)| Output::Edge(edge, message)));
+        if self.config.planner.reasons {
+            let known = (&self.book, &self.nodes, &self.machines);
+            let told = self.waits.look(now, &self.scheduler, &self.config, known);
+            out.extend(told.into_iter().map(|(edge, message)| Output::Edge(edge, message)));
+        }
         self.unwanted.retain(|_, until| now < *until);
     }
 
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -205,6 +205,20 @@
         planner.restart(&[], false)
     }
 
+    /// Names and addresses of all nodes.
+    pub fn addresses(&self) -> Vec<(String, String)> {
+        self.nodes.iter().map(|node| (node.name.clone(), node.addresses[0].clone())).collect()
+    }
+
+    /// How many times its cores and memory a node admits, as the settings of this cluster say.
+    pub fn admits(&self) -> [f64; 2] {
+        let text = self.layout.config.as_ref().and_then(|path| std::fs::read_to_string(path).ok());
+        let settings: serde_json::Value =
+            text.and_then(|text| hcl::from_str(&text).ok()).unwrap_or(serde_json::Value::Null);
+        let of = |key: &str, otherwise: f64| settings["nodes"][key].as_f64().unwrap_or(otherwise);
+        [of("admit_cores", 2.5), of("admit_memory", 1.2)]
+    }
+
     /// Children that have ended by themselves, and how.
     pub fn ended(&mut self) -> Vec<(String, String)> {
         let all = self.nodes.iter_mut().chain(&mut self.edges).chain(&mut self.planners);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,8 +4,10 @@
 pub mod checker;
 pub mod cluster;
 pub mod measure;
+pub mod oracle;
 pub mod play;
 pub mod process;
+mod sample;
 pub mod scenario;
 pub mod supervisor;
 
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -114,6 +114,7 @@
         for edge in 0..day.edges {
             tasks.push(smol::spawn(watch(this.clone(), edge)));
         }
+        tasks.push(smol::spawn(sample_reasons(this.clone(), seed)));
         for (i, (name, trouble)) in day.trouble.iter().enumerate() {
             let rng = rand_pcg::Pcg32::seed_from_u64(seed.wrapping_add(31 * (i as u64 + 1)));
             tasks.push(smol::spawn(strike(this.clone(), name.clone(), trouble.clone(), rng)));
@@ -232,6 +233,20 @@
     }
 }
 
+/// At random moments: what waiting tasks are told, and what nodes and register say of themselves.
+async fn sample_reasons(day: Arc<Day>, seed: u64) {
+    let mut rng = rand_pcg::Pcg32::seed_from_u64(seed ^ 0x0073_616d_706c_6572);
+    let found = day.with(|c| (c.register.addresses[0].clone(), c.addresses(), c.admits()));
+    let Some((register, nodes, admits)) = found else { return };
+    let mut sampler = crate::sample::Sampler::new(&day.apis[0], &register, nodes, admits);
+    while clock::now() < day.ends + 10.0 {
+        clock::sleep(rng.random_range(0.3..0.9)).await;
+        if let Some(sample) = sampler.take().await {
+            day.recorder.note("why", || sample);
+        }
+    }
+}
+
 async fn strike(day: Arc<Day>, name: String, trouble: Trouble, mut rng: rand_pcg::Pcg32) {
     clock::sleep(day.start + trouble.at - clock::now()).await;
     let until = clock::now() + trouble.seconds;
