A task on its way has no reason; one that is taken keeps none of the edge's

Read once more: a task just asked of a planner was told as lying there, and the edge's reason stayed after a planner had taken it until its first word. Both are mended and held by a test of the edge's core. A namespace's records come a thousand at most, the longest waiting first. Looks are bounded to 10,000 machines each: with 500 services waiting on 200 nodes the planner's CPU had grown by a quarter.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -242,7 +242,12 @@
         out: &mut Vec<(PlannerId, ToPlanner)>,
     ) {
         match action {
-            desk::Action::Tell(planner, message) => out.push((planner, message)),
+            desk::Action::Tell(planner, message) => {
+                if let ToPlanner::Go { uid, .. } = &message {
+                    self.waits.taken(now, uid);
+                }
+                out.push((planner, message));
+            }
             desk::Action::Placed(uid, node) => {
                 self.waits.close(&uid);
                 self.change(&uid, store, |pod| pods::placed(pod, &node, now));
--- a/crates/edge/src/desk.rs
+++ b/crates/edge/src/desk.rs
@@ -148,8 +148,8 @@
         self.tasks.get(uid).is_some_and(|task| task.stage == Stage::With(planner))
     }
 
-    /// Tasks that no planner has taken, and why.
-    pub fn untaken(&self) -> impl Iterator<Item = (&str, Code)> {
+    /// Tasks that no planner has taken, and why. One that was asked of a planner just now is on its way.
+    pub fn untaken(&self, now: f64) -> impl Iterator<Item = (&str, Code)> {
         let code = match () {
             () if self.planners.is_empty() => Code::NoPlanner,
             () if self.planners.values().all(|planner| planner.silent) => Code::PlannersSilent,
@@ -157,7 +157,9 @@
         };
         self.tasks.iter().filter_map(move |(uid, task)| match task.stage {
             Stage::Queued => Some((uid.as_str(), code)),
-            Stage::Asked(..) => Some((uid.as_str(), Code::PlannersSilent)),
+            Stage::Asked(_, at) if now - at >= self.settings.take_within / 2.0 => {
+                Some((uid.as_str(), Code::PlannersSilent))
+            }
             _ => None,
         })
     }
--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -14,7 +14,10 @@
 use tidespur_net::{Client, NetError, Recorder};
 use tidespur_rest::{DeleteOptions, Hooks, Seen, Verb};
 use tidespur_store::{Expect, Store};
-use tidespur_waiting::{Code, Held, Ledger};
+use tidespur_waiting::{Code, Held, Ledger, Record};
+
+/// Records in one answer, the longest waiting first.
+const RECORDS_MOST: usize = 1_000;
 
 pub(crate) struct EdgeHooks {
     pub(crate) classes: Vec<String>,
@@ -175,7 +178,13 @@
                 Ok(json!({"reasons": ledger.fleet().into_iter().map(line).collect::<Vec<_>>(),
                     "waiting": ledger.len(), "withoutRecord": ledger.without_record()}))
             }
-            [space] => Ok(json!({"items": ledger.all(space).map(|(_, record)| record).collect::<Vec<_>>()})),
+            [space] => {
+                let mut all: Vec<&Record> = ledger.all(space).map(|(_, record)| record).collect();
+                all.sort_by(|a, b| a.since.total_cmp(&b.since));
+                let remaining = all.len().saturating_sub(RECORDS_MOST);
+                all.truncate(RECORDS_MOST);
+                Ok(json!({"items": all, "remaining": remaining}))
+            }
             [space, pod] => match ledger.of(space, pod) {
                 Some(record) => Ok(json!(record)),
                 None => Err(ApiError::not_found("waits", pod)),
--- a/crates/edge/src/waits.rs
+++ b/crates/edge/src/waits.rs
@@ -71,6 +71,11 @@
             .for_each(|word| ledger.told(now, word));
     }
 
+    /// A planner has it now: the edge's own reasons hold no more.
+    pub(crate) fn taken(&mut self, now: f64, uid: &str) {
+        lock(&self.ledger).taken(now, uid);
+    }
+
     pub(crate) fn next_wake(&self, desk: &Desk) -> Option<f64> {
         (desk.open() > 0).then_some(self.look_at)
     }
@@ -90,7 +95,7 @@
         self.look_at = now + LOOK_EVERY;
         let due = {
             let mut ledger = lock(&self.ledger);
-            desk.untaken().for_each(|(uid, code)| ledger.edge(now, uid, code));
+            desk.untaken(now).for_each(|(uid, code)| ledger.edge(now, uid, code));
             ledger.due(now)
         };
         for write in due {
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -5,8 +5,9 @@
 use tidespur_api::{Object, meta};
 use tidespur_config::{DEFAULT, parse};
 use tidespur_edge::core::{Core, Input};
-use tidespur_link::ToPlanner;
+use tidespur_link::{ToEdge, ToPlanner};
 use tidespur_store::{Expect, Limits, Store};
+use tidespur_waiting::Code;
 
 struct World {
     core: Core,
@@ -104,3 +105,36 @@
     assert!(world.core.behind() > 0);
     assert_eq!(world.store.count(PODS), 40, "the pods of the twenty, none of the one that is gone");
 }
+
+#[test]
+fn a_task_on_its_way_has_no_reason_one_that_lies_has_and_one_that_is_taken_has_it_no_more() {
+    let mut world = World::new();
+    world.step(0.0, vec![Input::PlannerUp(1)]);
+    let pod = world.make("p");
+    let ledger = world.core.ledger();
+    let codes = || ledger.lock().unwrap().of("default", "p").unwrap().codes.clone();
+    let mut now = 0.0;
+    while now < 0.45 {
+        now += 0.05;
+        world.step(now, vec![Input::Kick]);
+        assert_eq!(codes(), [], "at {now}: it was asked just now");
+    }
+    while codes().is_empty() {
+        now += 0.05;
+        world.step(now, vec![]);
+        assert!(now < 1.5, "silence is not told");
+    }
+    assert_eq!(codes(), [Code::PlannersSilent]);
+    // The planner speaks, is asked again and takes it.
+    let taken = Input::Said(1, ToEdge::Taken { uid: meta::uid(&pod).to_owned() });
+    let out = world.step(now, vec![taken.clone()]);
+    let out = if out.iter().any(|m| matches!(m, ToPlanner::Go { .. })) {
+        out
+    } else {
+        world.step(now, vec![taken])
+    };
+    assert!(out.iter().any(|m| matches!(m, ToPlanner::Go { .. })), "{out:?}");
+    assert_eq!(codes(), []);
+    let spans = ledger.lock().unwrap().of("default", "p").unwrap().spans.clone();
+    assert!(spans.len() == 1 && spans[0].over, "the history keeps it: {spans:?}");
+}
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -15,7 +15,7 @@
 /// while what waits has no more shapes than [`LOOKS_MOST`] allows.
 const LOOK_EVERY: f64 = 0.25;
 /// Machines that are asked about in one look; beyond, shapes take turns.
-const LOOKS_MOST: usize = 50_000;
+const LOOKS_MOST: usize = 10_000;
 /// An unchanged word is repeated this often.
 const REPEAT: f64 = 2.0;
 /// Words in one go.
--- a/crates/waiting/src/ledger.rs
+++ b/crates/waiting/src/ledger.rs
@@ -151,6 +151,15 @@
         entry.hold(now, vec![code], code.words().to_owned(), |_| 0);
     }
 
+    /// A planner has taken it: what the edge said does not hold any more, and the planner has said nothing yet.
+    pub fn taken(&mut self, now: f64, uid: &str) {
+        let Some(entry) = self.records.get_mut(uid).filter(|entry| !entry.record.codes.is_empty()) else {
+            return;
+        };
+        entry.hold(now, vec![], String::new(), |_| 0);
+        entry.record.hint = None;
+    }
+
     /// What is to be written now: new or changed messages, each Pod at most so often.
     pub fn due(&mut self, now: f64) -> Vec<Write> {
         let mut due = Vec::new();
