A teller makes a word only of what is to be told

With 5,000 tasks waiting a word of each was built four times a second and mostly dropped. The teller now compares drafts that borrow, by the shared diagnosis first, and builds what goes out. Tests of waiting and planner pass.

--- a/crates/planner/src/book.rs
+++ b/crates/planner/src/book.rs
@@ -1,6 +1,6 @@
 //! The tasks that a planner knows, and where their attempts stand.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use tidespur_api::task::Ask;
 use tidespur_policy::interface::{MachineId, TaskId};
 
@@ -49,7 +49,7 @@
     /// A second run does no harm.
     pub safe: bool,
     /// What nodes answered to attempts that did not place it, last ones last: node and words. Bounded by attempts.
-    pub answers: VecDeque<(String, String)>,
+    pub answers: Vec<(String, String)>,
     /// It was told to run.
     pub runs: bool,
 }
@@ -78,7 +78,7 @@
         self.next += 1;
         let id = TaskId(self.next);
         self.by_uid.insert(ask.uid.clone(), id);
-        let known = Known { ask, edge, stage, attempts, safe, answers: VecDeque::new(), runs: false };
+        let known = Known { ask, edge, stage, attempts, safe, answers: Vec::new(), runs: false };
         self.tasks.insert(id, known);
         Some(id)
     }
--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -516,9 +516,9 @@
             Answer::Ended(ending, words, report) => {
                 known.stage = Stage::Open;
                 if known.answers.len() >= ANSWERS_MOST {
-                    known.answers.pop_front();
+                    known.answers.remove(0);
                 }
-                known.answers.push_back((node.clone(), words));
+                known.answers.push((node.clone(), words));
                 if matches!(ending, Ending::Late | Ending::Broken(_) | Ending::Failed) && known.safe {
                     // It is sent again, so what the node shows of this attempt is one copy too many.
                     let name = (known.ask.tenant.clone(), known.ask.name.clone());
@@ -641,12 +641,12 @@
                     self.unwanted.insert(known.ask.uid.clone(), now + UNWANTED_FOR);
                     self.reap(&known.ask.uid, out);
                 }
-                let why = self.why(known.answers.back(), "no node took it in time");
+                let why = self.why(known.answers.last(), "no node took it in time");
                 out.push(Output::Edge(known.edge, ToEdge::Refused { uid: known.ask.uid, why, retry_in }));
             }
             Action::Fail(task) => {
                 let Some(known) = self.book.close(task) else { return };
-                let why = self.why(known.answers.back(), "an attempt may have run");
+                let why = self.why(known.answers.last(), "an attempt may have run");
                 out.push(Output::Edge(known.edge, ToEdge::Failed { uid: known.ask.uid, why }));
             }
             Action::Move(task) => {
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -9,7 +9,7 @@
 use tidespur_link::ToEdge;
 use tidespur_policy::Scheduler;
 use tidespur_policy::interface::{Bar, Block, TaskId, Waiting};
-use tidespur_waiting::{Code, Diagnosis, Limit, Teller, Word};
+use tidespur_waiting::{Code, Diagnosis, Draft, Limit, Teller};
 
 /// Tasks that wait are looked at this often: no reason that is told is older than this and one way of the link,
 /// while what waits has no more shapes than [`LOOKS_MOST`] allows.
@@ -64,31 +64,32 @@
             return vec![];
         }
         self.refresh(now, scheduler, config, &waits, nodes, names);
-        let mut words: BTreeMap<EdgeId, Vec<Word>> =
+        let none = Arc::new(Diagnosis::default());
+        let mut drafts: BTreeMap<EdgeId, Vec<Draft<'_>>> =
             self.tellers.keys().map(|edge| (*edge, vec![])).collect();
         for (_, known) in waits {
             let out = match &known.stage {
-                Stage::Out { node, .. } => Some(node.clone()),
+                Stage::Out { node, .. } => Some(node.as_str()),
                 _ => None,
             };
             let found = self.shapes.get(&shape(known));
             if found.is_none() && out.is_none() {
                 continue;
             }
-            words.entry(known.edge).or_default().push(Word {
-                uid: known.ask.uid.clone(),
-                diagnosis: found.map(|found| found.diagnosis.clone()).unwrap_or_default(),
+            drafts.entry(known.edge).or_default().push(Draft {
+                uid: &known.ask.uid,
+                diagnosis: found.map_or(&none, |found| &found.diagnosis),
                 out,
-                answers: known.answers.iter().cloned().collect(),
+                answers: &known.answers,
                 sendable_for: found.map_or(0.0, |found| found.until - now),
                 next_look: found.map_or(0.0, |found| (found.next_look - now).max(0.0)),
             });
         }
         let mut out = Vec::new();
-        for (edge, words) in words {
+        for (edge, drafts) in drafts {
             let new = || Teller::new(2.0 * LOOK_EVERY, REPEAT, WORDS_MOST);
             let teller = self.tellers.entry(edge).or_insert_with(new);
-            let due = teller.step(now, words);
+            let due = teller.step(now, drafts);
             if teller.is_empty() {
                 self.tellers.remove(&edge);
             }
--- a/crates/waiting/src/lib.rs
+++ b/crates/waiting/src/lib.rs
@@ -14,4 +14,4 @@
 pub use ledger::{Held, Ledger, Settings, Write};
 pub use reason::{Code, Source};
 pub use record::{Record, Span};
-pub use teller::{Teller, Word};
+pub use teller::{Draft, Teller, Word};
--- a/crates/waiting/tests/waiting.rs
+++ b/crates/waiting/tests/waiting.rs
@@ -19,6 +19,17 @@
     }
 }
 
+fn draft(word: &Word) -> Draft<'_> {
+    Draft {
+        uid: &word.uid,
+        diagnosis: &word.diagnosis,
+        out: word.out.as_deref(),
+        answers: &word.answers,
+        sendable_for: word.sendable_for,
+        next_look: word.next_look,
+    }
+}
+
 fn record(pod: &str) -> Record {
     Record {
         namespace: "default".into(),
@@ -141,7 +152,7 @@
         let mut reader: std::collections::BTreeMap<String, Word> = Default::default();
         let mut now = 0.0;
         let mut step = |now: f64, waits: &std::collections::BTreeMap<String, Word>| {
-            let told = teller.step(now, waits.values().cloned().collect());
+            let told = teller.step(now, waits.values().map(draft));
             assert!(told.len() <= 8);
             for word in told {
                 assert!(waits.contains_key(&word.uid));
