--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -147,10 +147,20 @@
         say!("{}", serde_json::to_string_pretty(&fleet).unwrap_or_default());
         return Ok(());
     }
-    say!("{} tasks have a record; a task counts under each of its reasons", fleet["waiting"]);
+    say!("{} tasks have a record; a task counts under each of its reasons, in each zone", fleet["waiting"]);
     let mut table = comfy_table::Table::new();
     table.load_preset(comfy_table::presets::NOTHING);
-    table.set_header(["TASKS", "CORES", "MEMORY", "OLDEST", "CLASS", "NAMESPACE", "SOURCE", "REASON"]);
+    table.set_header([
+        "TASKS",
+        "CORES",
+        "MEMORY",
+        "OLDEST",
+        "CLASS",
+        "NAMESPACE",
+        "ZONE",
+        "SOURCE",
+        "REASON",
+    ]);
     let mut lines: Vec<&Value> = fleet["reasons"].as_array().into_iter().flatten().collect();
     lines.sort_by_key(|line| std::cmp::Reverse(line["tasks"].as_u64()));
     for line in lines {
@@ -163,6 +173,7 @@
             seconds(clock::now(), number("oldest")),
             text("class"),
             text("namespace"),
+            text("zone"),
             text("source"),
             text("words"),
         ]);
--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -502,7 +502,7 @@
     assert_eq!(reasons, ["Draining", "Cores"]);
     assert!(!fleet.to_string().contains("large"), "the fleet's view has no names of Pods");
     let metrics = running.raw(b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
-    let line = r#"tidespur_waiting_tasks{class="slot-abgleich",namespace="default",reason="Cores",source="policy"} 1"#;
+    let line = r#"tidespur_waiting_tasks{class="slot-abgleich",namespace="default",zone="halle-b",reason="Cores",source="policy"} 1"#;
     assert!(metrics.contains(line), "{metrics}");
     // Deleted while it is asked about: the last record still answers, as past.
     running.runtime.block_on(pods.delete("large", &DeleteParams::default())).unwrap();
--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -169,9 +169,9 @@
         let ledger = lock(&self.ledger);
         Some(match rest {
             [] => {
-                let line = |((class, namespace, code), held): (_, Held)| {
+                let line = |((class, namespace, zone, code), held): (_, Held)| {
                     let code: Code = code;
-                    json!({"class": class, "namespace": namespace, "reason": code, "source": code.source(),
+                    json!({"class": class, "namespace": namespace, "zone": zone, "reason": code, "source": code.source(),
                         "words": code.words(), "tasks": held.tasks, "cores": held.cores, "memory": held.memory,
                         "oldest": held.oldest})
                 };
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,20 +1,23 @@
-//! What `/metrics` shows of waiting work, in the published text format. Labels are bounded: classes and namespaces
-//! beyond a number count as `other`.
+//! What `/metrics` shows of waiting work, in the published text format. Labels are bounded: classes are those of the
+//! settings; namespaces and zones beyond a number count as `other`.
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::{family::Family, gauge::Gauge};
 use prometheus_client::registry::Registry;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::AtomicU64;
 use tidespur_waiting::Ledger;
 
 /// Namespaces that are shown by name.
 const NAMESPACES_MOST: usize = 50;
+/// Zones that are shown by name.
+const ZONES_MOST: usize = 20;
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct Labels {
     class: String,
     namespace: String,
+    zone: String,
     reason: String,
     source: String,
 }
@@ -42,19 +45,24 @@
     plain(&mut registry, "behind", "Times the edge fell behind its own history", behind as f64);
     let unrecorded = ledger.without_record() as f64;
     plain(&mut registry, "waiting_without_record", "Tasks beyond the most records that are kept", unrecorded);
-    let mut sums: BTreeMap<(String, String, tidespur_waiting::Code), [f64; 3]> = BTreeMap::new();
-    let mut named = std::collections::BTreeSet::new();
-    for ((class, namespace, code), held) in ledger.fleet() {
-        let shown = named.contains(&namespace) || named.len() < NAMESPACES_MOST;
-        let namespace = if shown { namespace } else { "other".to_owned() };
-        named.insert(namespace.clone());
-        let sum = sums.entry((class, namespace, code)).or_default();
+    let mut sums: BTreeMap<(String, String, String, tidespur_waiting::Code), [f64; 3]> = BTreeMap::new();
+    let (mut namespaces, mut zones) = (BTreeSet::new(), BTreeSet::new());
+    let bounded = |named: &mut BTreeSet<String>, name: String, most: usize| {
+        let shown = named.contains(&name) || named.len() < most;
+        let name = if shown { name } else { "other".to_owned() };
+        named.insert(name.clone());
+        name
+    };
+    for ((class, namespace, zone, code), held) in ledger.fleet() {
+        let namespace = bounded(&mut namespaces, namespace, NAMESPACES_MOST);
+        let zone = bounded(&mut zones, zone, ZONES_MOST);
+        let sum = sums.entry((class, namespace, zone, code)).or_default();
         let held = [f64::from(held.tasks), held.cores, held.memory];
         sum.iter_mut().zip(held).for_each(|(sum, held)| *sum += held);
     }
-    for ((class, namespace, code), sum) in sums {
+    for ((class, namespace, zone, code), sum) in sums {
         let source = format!("{:?}", code.source()).to_lowercase();
-        let labels = Labels { class, namespace, reason: code.name().to_owned(), source };
+        let labels = Labels { class, namespace, zone, reason: code.name().to_owned(), source };
         for (family, value) in [&tasks, &cores, &memory].into_iter().zip(sum) {
             family.get_or_create(&labels).set(value);
         }
--- a/crates/rig/src/sample.rs
+++ b/crates/rig/src/sample.rs
@@ -45,10 +45,17 @@
                 json!({"name": meta::name(pod), "since": since})
             })
             .collect();
+        // All at once: a node that hangs must not make the others' word old.
+        let ask = |(name, client): &(String, Client)| {
+            let (name, client) = (name.clone(), client.clone());
+            smol::spawn(async move { (name, read(&client, "/api/v1/pods").await) })
+        };
+        let asked_of: Vec<_> = self.nodes.iter().map(ask).collect();
         let mut nodes = Vec::new();
-        for (name, client) in &self.nodes {
+        for told in asked_of {
+            let (name, held) = told.await;
             let Some(node) = items(&listed).find(|node| meta::name(node) == name) else { continue };
-            let Some(held) = read(client, "/api/v1/pods").await else { continue };
+            let Some(held) = held else { continue };
             let mut asked = [0.0; 2];
             for pod in items(&held) {
                 if ["Succeeded", "Failed"].contains(&meta::text(pod, &["status", "phase"])) {
--- a/crates/waiting/src/diagnosis.rs
+++ b/crates/waiting/src/diagnosis.rs
@@ -33,6 +33,8 @@
     pub nodes: u32,
     /// How many were ruled out by what.
     pub bars: BTreeMap<Code, u32>,
+    /// The same by zone.
+    pub zones: BTreeMap<String, BTreeMap<Code, u32>>,
     /// What keeps it from all alike.
     pub block: Option<Code>,
     /// The node that came nearest.
@@ -59,6 +61,7 @@
     /// Counts a node that was ruled out.
     pub fn bar(&mut self, node: &str, zone: &str, code: Code, short: f64) {
         *self.bars.entry(code).or_default() += 1;
+        *self.zones.entry(zone.to_owned()).or_default().entry(code).or_default() += 1;
         let nearer = self.nearest.as_ref().is_none_or(|nearest| {
             let order = rank(code).cmp(&rank(nearest.code)).then(short.total_cmp(&nearest.short));
             order.is_lt()
@@ -87,10 +90,16 @@
             .collect()
     }
 
+    /// Zones in which a reason rules out nodes.
+    pub fn zones_of(&self, code: Code) -> impl Iterator<Item = &str> {
+        let there = move |(_, bars): &(&String, &BTreeMap<Code, u32>)| bars.contains_key(&code);
+        self.zones.iter().filter(there).map(|(zone, _)| zone.as_str())
+    }
+
     /// Whether it says the same, leaving out by how much a node missed: that changes all the time.
     pub fn same(&self, other: &Self) -> bool {
-        (self.nodes, &self.bars, self.block, &self.limit)
-            == (other.nodes, &other.bars, other.block, &other.limit)
+        (self.nodes, &self.bars, &self.zones, self.block, &self.limit)
+            == (other.nodes, &other.bars, &other.zones, other.block, &other.limit)
     }
 
     /// In the style of the published scheduler: `0/16 nodes are available: 9 no memory, 3 draining`.
--- a/crates/waiting/src/ledger.rs
+++ b/crates/waiting/src/ledger.rs
@@ -195,18 +195,26 @@
         all.filter(move |(_, record)| wanted(record))
     }
 
-    /// How much work each reason holds back, by class and namespace. A task counts under each reason that holds.
-    pub fn fleet(&self) -> BTreeMap<(String, String, Code), Held> {
-        let mut fleet: BTreeMap<(String, String, Code), Held> = BTreeMap::new();
+    /// How much work each reason holds back, by class, namespace and the zone whose nodes it rules out ("" where it
+    /// rules out no nodes). A task counts under each reason that holds, in each zone.
+    pub fn fleet(&self) -> BTreeMap<(String, String, String, Code), Held> {
+        let mut fleet: BTreeMap<(String, String, String, Code), Held> = BTreeMap::new();
         for (_, record) in self.all("") {
             for &code in &record.codes {
-                let key = (record.class.clone(), record.namespace.clone(), code);
-                let held =
-                    fleet.entry(key).or_insert_with(|| Held { oldest: f64::INFINITY, ..Held::default() });
-                held.tasks += 1;
-                held.cores += record.asks[0];
-                held.memory += record.asks[1];
-                held.oldest = held.oldest.min(record.since);
+                let diagnosis = record.word.as_ref().map(|word| &word.diagnosis);
+                let mut zones: Vec<&str> = diagnosis.iter().flat_map(|found| found.zones_of(code)).collect();
+                if zones.is_empty() {
+                    zones.push("");
+                }
+                for zone in zones {
+                    let key = (record.class.clone(), record.namespace.clone(), zone.to_owned(), code);
+                    let new = || Held { oldest: f64::INFINITY, ..Held::default() };
+                    let held = fleet.entry(key).or_insert_with(new);
+                    held.tasks += 1;
+                    held.cores += record.asks[0];
+                    held.memory += record.asks[1];
+                    held.oldest = held.oldest.min(record.since);
+                }
             }
         }
         fleet
--- a/crates/waiting/tests/waiting.rs
+++ b/crates/waiting/tests/waiting.rs
@@ -65,6 +65,8 @@
     );
     assert_eq!(found.hint().unwrap(), "2.5 memory units more free on n2 in a");
     assert_eq!(found.codes().first(), Some(&Code::Memory));
+    assert_eq!(found.zones_of(Code::Memory).collect::<Vec<_>>(), ["a", "b"]);
+    assert_eq!(found.zones_of(Code::Spread).collect::<Vec<_>>(), ["b"]);
     found.block = Some(Code::MayHaveRun);
     assert!(found.message().starts_with("can't be sent"));
 }
@@ -128,7 +130,7 @@
         ledger.told(0.5, word(uid, &shared));
     }
     let fleet = ledger.fleet();
-    let held = &fleet[&("termin-web".to_owned(), "default".to_owned(), Code::Cores)];
+    let held = &fleet[&("termin-web".to_owned(), "default".to_owned(), String::new(), Code::Cores)];
     assert_eq!((held.tasks, held.cores, held.memory), (3, 3.0, 6.0));
     ledger.close("a");
     let past = ledger.of("default", "a").unwrap();
