Read once more: one order of reasons, one lookup of a class, one test for a Pod that waits

Pieces that this change wrote twice now stand once: Diagnosis::ordered, Config::class_called, task::waits, and the edge's answer that a Pod was not placed. A planner builds each shape once a look instead of twice. A cursor at the store's own version is made directly. Gone: Ledger::sources and Write::since, which nobody read.

--- a/crates/api/src/task.rs
+++ b/crates/api/src/task.rs
@@ -43,6 +43,11 @@
     (sum("cpu"), sum("memory") / names::MEMORY_UNIT)
 }
 
+/// Whether a Pod waits for a node.
+pub fn waits(pod: &Object) -> bool {
+    meta::text(pod, &["spec", "nodeName"]).is_empty() && meta::text(pod, &["status", "phase"]) == "Pending"
+}
+
 /// Reads a checked Pod.
 pub fn ask(pod: &Object) -> Ask {
     let (cores, memory) = requests(pod);
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -9,7 +9,7 @@
 use std::io::Read;
 use std::path::PathBuf;
 use tidespur_api::resource::{EVENTS, NODES, PODS};
-use tidespur_api::{Resource, meta};
+use tidespur_api::{Resource, meta, task};
 use tidespur_net::clock;
 
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -175,10 +175,7 @@
             if r.kind != "Pod" {
                 return Err("--waiting is for pods".into());
             }
-            items.retain(|pod| {
-                let unplaced = meta::text(pod, &["spec", "nodeName"]).is_empty();
-                unplaced && meta::text(pod, &["status", "phase"]) == "Pending"
-            });
+            items.retain(task::waits);
             // Versions grow with time, so they order those of one second too.
             let made = |pod: &Value| meta::text(pod, &["metadata", "creationTimestamp"]).to_owned();
             items.sort_by_key(|pod| (made(pod), meta::version(pod)));
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -6,7 +6,7 @@
 use hyper::Method;
 use serde_json::Value;
 use tidespur_api::resource::{JOBS, PODS};
-use tidespur_api::{meta, names};
+use tidespur_api::{meta, names, task};
 use tidespur_net::clock;
 
 #[derive(Args)]
@@ -58,7 +58,7 @@
     }
     let node = meta::text(&object, &["spec", "nodeName"]);
     let phase = meta::text(&object, &["status", "phase"]);
-    let waits = node.is_empty() && phase == "Pending";
+    let waits = task::waits(&object);
     match (waits, node) {
         (true, _) => say!("pod/{name} waits"),
         (false, "") => say!("pod/{name} is {phase}: {}", meta::text(&object, &["status", "message"])),
@@ -119,11 +119,7 @@
     let query = format!("?labelSelector={}%3D{name}", names::JOB_NAME.replace('/', "%2F"));
     let pods = target.get(PODS, "", &query).await?;
     let pods = pods["items"].as_array().cloned().unwrap_or_default();
-    let waits: Vec<&Value> = pods
-        .iter()
-        .filter(|pod| meta::text(pod, &["spec", "nodeName"]).is_empty())
-        .filter(|pod| meta::text(pod, &["status", "phase"]) == "Pending")
-        .collect();
+    let waits: Vec<&Value> = pods.iter().filter(|pod| task::waits(pod)).collect();
     if !json {
         say!("job/{name}: {} of {} Pods wait", waits.len(), pods.len());
         if meta::at(&job, &["spec", "suspend"]) == true {
--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -13,6 +13,11 @@
 }
 
 impl Config {
+    /// The class of that name; the first one where the name is none of theirs, as it is for Pods that name none.
+    pub fn class_called(&self, name: &str) -> Option<&crate::Class> {
+        self.class.get(name).or_else(|| self.class.values().next())
+    }
+
     /// What a planner of that number and zone tells its policy at the start.
     pub fn policy(&self, ordinal: usize, zone: usize) -> policy::Settings {
         let class = |c: &crate::Class| policy::Class {
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -222,8 +222,7 @@
                     let node = meta::text(pod, &["spec", "nodeName"]).to_owned();
                     desk.push(desk::Event::Adopt(ask, node));
                 } else {
-                    let class =
-                        self.config.class.get(&ask.class).or_else(|| self.config.class.values().next());
+                    let class = self.config.class_called(&ask.class);
                     let within = ask.within.or(class.map(|class| class.deadline)).unwrap_or(0.0);
                     self.waits.open(now, &ask, meta::name(pod));
                     let safe = class.is_some_and(|class| class.effect == Effect::Safe);
@@ -253,18 +252,8 @@
                 self.change(&uid, store, |pod| pods::placed(pod, &node, now));
                 self.tell(&uid, store, "Normal", "Scheduled", &format!("assigned to {node}"), now);
             }
-            desk::Action::Refused(uid, why) => {
-                self.waits.close(&uid);
-                self.change(&uid, store, |pod| pods::unplaced(pod, names::REFUSED, &why, now));
-                self.tell(&uid, store, "Warning", "FailedScheduling", &why, now);
-                self.known.remove(&uid);
-            }
-            desk::Action::Failed(uid, why) => {
-                self.waits.close(&uid);
-                self.change(&uid, store, |pod| pods::unplaced(pod, names::UNKNOWN, &why, now));
-                self.tell(&uid, store, "Warning", "FailedScheduling", &why, now);
-                self.known.remove(&uid);
-            }
+            desk::Action::Refused(uid, why) => self.unplaced(&uid, names::REFUSED, &why, store, now),
+            desk::Action::Failed(uid, why) => self.unplaced(&uid, names::UNKNOWN, &why, store, now),
             desk::Action::Runs(uid) => self.change(&uid, store, |pod| pods::runs(pod, now)),
             desk::Action::Ended(uid, end) => {
                 self.change(&uid, store, |pod| pods::ended(pod, end, now));
@@ -277,6 +266,14 @@
         }
     }
 
+    /// The answer that a Pod was not placed.
+    fn unplaced(&mut self, uid: &str, reason: &str, why: &str, store: &mut Store, now: f64) {
+        self.waits.close(uid);
+        self.change(uid, store, |pod| pods::unplaced(pod, reason, why, now));
+        self.tell(uid, store, "Warning", "FailedScheduling", why, now);
+        self.known.remove(uid);
+    }
+
     fn change(&self, uid: &str, store: &mut Store, change: impl FnOnce(&mut Object)) {
         let Some((space, name)) = self.known.get(uid) else { return };
         let Some(mut pod) = store.get(PODS, space, name).map(|pod| (**pod).clone()) else { return };
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -58,8 +58,11 @@
             return vec![];
         }
         self.look_at = now + LOOK_EVERY;
-        let waits: Vec<(TaskId, &Known)> =
-            book.iter().filter(|(_, known)| matches!(known.stage, Stage::Open | Stage::Out { .. })).collect();
+        let waits: Vec<(TaskId, &Known, Shape)> = book
+            .iter()
+            .filter(|(_, known)| matches!(known.stage, Stage::Open | Stage::Out { .. }))
+            .map(|(id, known)| (id, known, shape(known)))
+            .collect();
         if waits.is_empty() && self.tellers.is_empty() {
             return vec![];
         }
@@ -67,12 +70,12 @@
         let none = Arc::new(Diagnosis::default());
         let mut drafts: BTreeMap<EdgeId, Vec<Draft<'_>>> =
             self.tellers.keys().map(|edge| (*edge, vec![])).collect();
-        for (_, known) in waits {
+        for (_, known, shape) in &waits {
             let out = match &known.stage {
                 Stage::Out { node, .. } => Some(node.as_str()),
                 _ => None,
             };
-            let found = self.shapes.get(&shape(known));
+            let found = self.shapes.get(shape);
             if found.is_none() && out.is_none() {
                 continue;
             }
@@ -106,34 +109,33 @@
         now: f64,
         scheduler: &Scheduler,
         config: &Config,
-        waits: &[(TaskId, &Known)],
+        waits: &[(TaskId, &Known, Shape)],
         nodes: &Nodes,
         names: &Names,
     ) {
-        let mut wanted: BTreeMap<Shape, TaskId> = BTreeMap::new();
-        for (id, known) in waits.iter().filter(|(_, known)| known.stage == Stage::Open) {
-            wanted.entry(shape(known)).or_insert(*id);
+        let mut wanted: BTreeMap<&Shape, TaskId> = BTreeMap::new();
+        for (id, _, shape) in waits.iter().filter(|(_, known, _)| known.stage == Stage::Open) {
+            wanted.entry(shape).or_insert(*id);
         }
         self.shapes.retain(|shape, _| wanted.contains_key(shape));
         let at = |shape: &Shape| self.shapes.get(shape).map_or(f64::NEG_INFINITY, |found| found.at);
-        let mut order: Vec<(f64, Shape, TaskId)> =
-            wanted.into_iter().map(|(shape, id)| (at(&shape), shape, id)).collect();
+        let mut order: Vec<(f64, &Shape, TaskId)> =
+            wanted.into_iter().map(|(shape, id)| (at(shape), shape, id)).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut left = LOOKS_MOST;
         for (_, shape, id) in order {
             let Some(waiting) = scheduler.explain(now, id) else { continue };
-            let class = config.class.get(&shape.1).or_else(|| config.class.values().next());
-            let limit = class.and_then(|class| {
+            let limit = config.class_called(&shape.1).and_then(|class| {
                 let place = format!("{:?}", class.spread?).to_lowercase();
                 Some(Limit { place, most: class.spread_most })
             });
             let diagnosis = diagnose(now, &waiting, limit, nodes, names);
-            let diagnosis = match self.shapes.get(&shape) {
+            let diagnosis = match self.shapes.get(shape) {
                 Some(old) if *old.diagnosis == diagnosis => old.diagnosis.clone(),
                 _ => Arc::new(diagnosis),
             };
             let (until, next_look) = (waiting.until, waiting.next_look);
-            self.shapes.insert(shape, Found { at: now, diagnosis, until, next_look });
+            self.shapes.insert(shape.clone(), Found { at: now, diagnosis, until, next_look });
             left = left.saturating_sub(waiting.machines.max(1));
             if left == 0 {
                 return;
--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -7,7 +7,7 @@
 //! compacted under a reader. No harm is known but the pointers: an object that came and went in the gap is not told,
 //! as nobody can have acted on it.
 
-use crate::{Change, ChangeKind, Cursor, Expired, Store};
+use crate::{Change, ChangeKind, Cursor, Store};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use tidespur_api::{Object, Resource, meta};
@@ -82,9 +82,7 @@
             before: Some(old),
         };
         stands.sort_by_key(|change| change.version);
-        let fresh: Result<Cursor, Expired> = store.watch(self.resource, store.version());
-        // A cursor at the store's own version always stands.
-        self.cursor = fresh.unwrap_or_else(|_| Cursor::new(self.resource.index, store.version()));
+        self.cursor = Cursor::new(self.resource.index, store.version());
         gone.into_iter().map(ended).chain(stands).collect()
     }
 }
--- a/crates/waiting/src/diagnosis.rs
+++ b/crates/waiting/src/diagnosis.rs
@@ -76,16 +76,21 @@
         self.nodes.saturating_sub(self.bars.values().sum())
     }
 
+    /// What rules nodes out and how many, the one that rules out most first.
+    fn ordered(&self) -> Vec<(Code, u32)> {
+        let mut bars: Vec<(Code, u32)> = self.bars.iter().map(|(code, count)| (*code, *count)).collect();
+        bars.sort_by(|a, b| b.1.cmp(&a.1).then(a.0.cmp(&b.0)));
+        bars
+    }
+
     /// All codes that hold now, the one that rules out most first.
     pub fn codes(&self) -> Vec<Code> {
-        let mut codes: Vec<(u32, Code)> = self.bars.iter().map(|(code, count)| (*count, *code)).collect();
-        codes.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
         let free = (self.free() > 0 && self.block.is_none()).then_some(Code::Free);
         let none = (self.nodes == 0).then_some(Code::NoList);
         self.block
             .into_iter()
             .chain(none)
-            .chain(codes.into_iter().map(|(_, code)| code))
+            .chain(self.ordered().into_iter().map(|(code, _)| code))
             .chain(free)
             .collect()
     }
@@ -110,15 +115,13 @@
         if self.nodes == 0 {
             return "0/0 nodes are available: no list of nodes yet".into();
         }
-        let mut bars: Vec<(&Code, &u32)> = self.bars.iter().collect();
-        bars.sort_by(|a, b| b.1.cmp(a.1).then(a.0.cmp(b.0)));
-        let one = |(code, count): (&Code, &u32)| match (&self.limit, code) {
+        let one = |(code, count): (Code, u32)| match (&self.limit, code) {
             (Some(limit), Code::Spread) => {
                 format!("{count} {} limit of the service ({})", limit.place, limit.most)
             }
             _ => format!("{count} {}", code.words()),
         };
-        let list: Vec<String> = bars.into_iter().map(one).collect();
+        let list: Vec<String> = self.ordered().into_iter().map(one).collect();
         let head = format!("{}/{} nodes are available", self.free(), self.nodes);
         if list.is_empty() { head } else { format!("{head}: {}", list.join(", ")) }
     }
--- a/crates/waiting/src/ledger.rs
+++ b/crates/waiting/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The edge's side: a record for each task that waits, what is written to objects and when, and the fleet's view.
 
-use crate::{Code, Diagnosis, Record, Source, Word};
+use crate::{Code, Diagnosis, Record, Word};
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -33,8 +33,6 @@
     pub code: Code,
     /// How often its reasons have changed.
     pub count: u32,
-    /// It waits since then.
-    pub since: f64,
 }
 
 /// Work that one reason holds back.
@@ -173,8 +171,7 @@
                 let message = entry.record.message.clone();
                 entry.written = Some((now, message.clone()));
                 entry.count += 1;
-                let (count, since) = (entry.count, entry.record.since);
-                due.push(Write { uid: uid.clone(), message, code, count, since });
+                due.push(Write { uid: uid.clone(), message, code, count: entry.count });
             }
         }
         due
@@ -220,17 +217,6 @@
         fleet
     }
 
-    /// How many wait by source of the reason that weighs most.
-    pub fn sources(&self) -> BTreeMap<Source, u32> {
-        let mut sources = BTreeMap::new();
-        for (_, record) in self.all("") {
-            if let Some(code) = record.codes.first() {
-                *sources.entry(code.source()).or_default() += 1;
-            }
-        }
-        sources
-    }
-
     /// Tasks with a record.
     pub fn len(&self) -> usize {
         self.records.len()
