--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -203,12 +203,7 @@
         }
         out.push(Output::Log(format!("stood still for {still:.1} s: gives up what was open")));
         out.push(Output::Cut);
-        let open =
-            self.book.iter().filter(|(_, known)| matches!(known.stage, Stage::Open | Stage::Out { .. }));
-        let open: Vec<TaskId> = open.map(|(id, _)| id).collect();
-        open.into_iter().for_each(|id| self.drop_open(id, events));
-        self.questions.clear();
-        self.taken.clear();
+        self.give_up(|_| true, events);
     }
 
     fn take(&mut self, now: f64, input: Input, events: &mut Vec<Event>, out: &mut Vec<Output>) {
@@ -459,11 +454,16 @@
 
     /// The edge is lost. What was not yet answered is nobody's now; what runs runs on.
     fn edge_lost(&mut self, edge: EdgeId, events: &mut Vec<Event>) {
-        self.questions.retain(|question| question.edge != edge);
-        self.taken.retain(|_, (of, _)| *of != edge);
+        self.give_up(|of| of == edge, events);
         self.waits.forget(edge);
+    }
+
+    /// Whatever is open of these edges is nobody's any more.
+    fn give_up(&mut self, these: impl Fn(EdgeId) -> bool, events: &mut Vec<Event>) {
+        self.questions.retain(|question| !these(question.edge));
+        self.taken.retain(|_, (of, _)| !these(*of));
         let its: Vec<TaskId> =
-            self.book.iter().filter(|(_, known)| known.edge == edge).map(|(id, _)| id).collect();
+            self.book.iter().filter(|(_, known)| these(known.edge)).map(|(id, _)| id).collect();
         its.into_iter().for_each(|id| self.drop_open(id, events));
     }
 
