--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -7,23 +7,35 @@
 #[command(
     name = "tidespur-planner",
     version,
+    args_conflicts_with_subcommands = true,
     about = "Plans: decides which node takes which task, and offers it there"
 )]
 struct Arguments {
+    #[command(subcommand)]
+    door: Option<Door>,
     #[command(flatten)]
-    options: tidespur_planner::Options,
+    options: Option<tidespur_planner::Options>,
     /// Lines of the log as JSON
     #[arg(long)]
     log_json: bool,
 }
 
+#[derive(clap::Subcommand)]
+enum Door {
+    /// Serve the operators' platform and nothing else; RELAY_CONFIG names the configuration
+    Platform,
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     tidespur_net::logs(arguments.log_json);
-    let config = tidespur_config::load_or_default(arguments.options.config.as_deref());
-    let ran = config
-        .map_err(|e| e.to_string())
-        .and_then(|config| smol::block_on(tidespur_planner::run(config, arguments.options)));
+    let ran = match (arguments.door, arguments.options) {
+        (Some(Door::Platform), _) => tidespur_platform_net::run(),
+        (None, Some(options)) => tidespur_config::load_or_default(options.config.as_deref())
+            .map_err(|e| e.to_string())
+            .and_then(|config| smol::block_on(tidespur_planner::run(config, options))),
+        (None, None) => Err("--edge and --register are needed, or the subcommand `platform`".into()),
+    };
     match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
--- /dev/null
+++ b/crates/platform-net/src/board.rs
@@ -0,0 +1,66 @@
+//! Follows the notice board: connected always, and at once again after an end.
+
+use async_io::Timer;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tidespur_net::{Client, clock};
+use tidespur_platform::board::Events;
+
+/// A comment comes each second: silence for this long is an end.
+const SILENCE: f64 = 2.0;
+/// The head of an answer must be there within this.
+const HEAD_WITHIN: f64 = 1.0;
+/// Pause after a connection that brought nothing.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// The board's address, and how often it was changed.
+#[derive(Debug)]
+pub struct Address {
+    /// Where it listens.
+    pub at: RefCell<String>,
+}
+
+/// Follows the board at one address until `current` says that it was left for another and it has ended.
+pub async fn follow(
+    address: String,
+    current: Rc<Address>,
+    noticed: impl Fn() -> u64,
+    mut take: impl FnMut(&str),
+) {
+    loop {
+        let began = clock::now();
+        let why = once(&address, noticed(), &mut take).await;
+        if *current.at.borrow() != address {
+            tracing::info!(board = address, why, "the old notice board ended");
+            return;
+        }
+        tracing::info!(board = address, why, "the notice board ended");
+        if clock::now() - began < 0.5 {
+            Timer::after(AGAIN).await;
+        }
+    }
+}
+
+async fn once(address: &str, noticed: u64, take: &mut impl FnMut(&str)) -> String {
+    let client = Client::new(address, 1, vec![("last-event-id", noticed.to_string())]);
+    let mut lines = match client.lines("/board/poll", HEAD_WITHIN).await {
+        Ok(lines) if lines.status.is_success() => lines,
+        Ok(lines) => return format!("status {}", lines.status),
+        Err(problem) => return problem.to_string(),
+    };
+    let mut events = Events::default();
+    loop {
+        let line = match clock::within(SILENCE, lines.next()).await {
+            None => return "silence".into(),
+            Some(Ok(Some(line))) => line,
+            Some(Ok(None)) => return "it ended".into(),
+            Some(Err(problem)) => return problem.to_string(),
+        };
+        match events.line(&line) {
+            Ok(Some(data)) => take(&data),
+            Ok(None) => {}
+            Err(problem) => return problem,
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform-net/src/run.rs
@@ -0,0 +1,357 @@
+//! The loops: listen, dial, read, write, signals, timers.
+
+use crate::board::{self, Address};
+use crate::config::{self, Config};
+use crate::socket::{Socket, TURN, Wrote};
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use smol::LocalExecutor;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use tidespur_net::clock;
+use tidespur_platform::lines::LineAction;
+use tidespur_platform::message::{Decoder, Message, MessageError};
+use tidespur_platform::{ClientId, Door, Input, Limits, LineId, Output};
+
+/// A line of counters goes to the log this often.
+const REPORT: f64 = 10.0;
+/// Pause of the listener where descriptors are used up.
+const SHORT: Duration = Duration::from_millis(20);
+/// A configuration that can't be read is read again after this, so many times.
+const REREAD: Duration = Duration::from_millis(100);
+const REREADS: u32 = 50;
+
+struct Run {
+    door: RefCell<Door>,
+    executor: Rc<LocalExecutor<'static>>,
+    clients: RefCell<BTreeMap<ClientId, Rc<Socket>>>,
+    /// Connections to machines; `None` while they are dialled.
+    lines: RefCell<BTreeMap<LineId, Option<Rc<Socket>>>>,
+    buffer: RefCell<Vec<u8>>,
+    next_client: Cell<u64>,
+    /// Told when the time of the next tick may have changed.
+    wake: async_lock::Semaphore,
+    board: Rc<Address>,
+    site: tidespur_settings::Site,
+    name: String,
+    over: Cell<bool>,
+}
+
+/// Runs the scheduler on the platform until it is told to end and nothing is owed any more.
+///
+/// # Errors
+/// What keeps it from starting.
+pub fn run() -> Result<(), String> {
+    // Before anything else: a signal without a handler ends the program.
+    let signals = Signals::new([Signal::Hup, Signal::Term]).map_err(|e| format!("signals: {e}"))?;
+    let path = config::path()?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let config = config::read(&text)?;
+    let executor = Rc::new(LocalExecutor::new());
+    let run = Run::new(config, executor.clone(), signals)?;
+    smol::block_on(executor.run(run.live()))
+}
+
+impl Run {
+    fn new(
+        config: Config,
+        executor: Rc<LocalExecutor<'static>>,
+        signals: Signals,
+    ) -> Result<Rc<Self>, String> {
+        let door = Door::new(config.site.clone(), Limits::of(config.sockets), config.seed)?;
+        let this = Rc::new(Self {
+            door: RefCell::new(door),
+            executor,
+            clients: RefCell::default(),
+            lines: RefCell::default(),
+            buffer: RefCell::new(vec![0; TURN]),
+            next_client: Cell::new(0),
+            wake: async_lock::Semaphore::new(0),
+            board: Rc::new(Address { at: RefCell::new(config.board.clone()) }),
+            site: config.site,
+            name: config.name,
+            over: Cell::new(false),
+        });
+        this.step(config.known.into_iter().map(Input::Noticed).collect());
+        let address: SocketAddr = config.listen.parse().map_err(|e| format!("{}: {e}", config.listen))?;
+        let listener = Async::<TcpListener>::bind(address).map_err(|e| format!("{address}: {e}"))?;
+        tracing::info!(scheduler = this.name, %address, sockets = config.sockets, "started");
+        this.spawn(this.clone().listen(listener));
+        this.spawn(this.clone().signals(signals));
+        this.follow(config.board);
+        Ok(this)
+    }
+
+    fn spawn(&self, future: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(future).detach();
+    }
+
+    /// Time goes on.
+    async fn live(self: Rc<Self>) -> Result<(), String> {
+        let mut reported = clock::now();
+        while !self.over.get() {
+            let now = clock::now();
+            let due = self.door.borrow().next_wake() - now;
+            if due > 0.0 {
+                if let Some(permit) = clock::within(due, self.wake.acquire()).await {
+                    permit.forget();
+                }
+            }
+            let now = clock::now();
+            if now >= self.door.borrow().next_wake() {
+                self.step(vec![Input::Tick]);
+            }
+            if now - reported > REPORT {
+                reported = now;
+                self.report();
+            }
+        }
+        self.report();
+        Ok(())
+    }
+
+    fn report(&self) {
+        let door = self.door.borrow();
+        let [requests, waiting, clients, lines, machines] = door.sizes();
+        tracing::info!(scheduler = self.name, requests, waiting, clients, lines, machines, counts = ?door.counts());
+    }
+
+    fn step(self: &Rc<Self>, inputs: Vec<Input>) {
+        let mut inputs = inputs;
+        while !inputs.is_empty() {
+            let mut out = Vec::new();
+            let before = self.door.borrow().next_wake();
+            self.door.borrow_mut().step(clock::now(), std::mem::take(&mut inputs), &mut out);
+            if self.door.borrow().next_wake() < before {
+                self.wake.add_permits(1);
+            }
+            for output in out {
+                inputs.extend(self.carry_out(output));
+            }
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, output: Output) -> Option<Input> {
+        match output {
+            Output::Client(client, bytes) => {
+                let socket = self.clients.borrow().get(&client).cloned()?;
+                match socket.write(&bytes) {
+                    (Wrote::Taken, rest) => {
+                        if rest {
+                            self.spawn(async move { drop(socket.drain().await) });
+                        }
+                        None
+                    }
+                    _ => self.client_over(client).then_some(Input::ClientClosed(client)),
+                }
+            }
+            Output::CloseClient(client) => {
+                self.client_over(client);
+                None
+            }
+            Output::Line(LineAction::Dial(line, address)) => {
+                self.lines.borrow_mut().insert(line, None);
+                self.spawn(self.clone().dial(line, address));
+                None
+            }
+            Output::Line(LineAction::Write(line, bytes)) => {
+                let socket = self.lines.borrow().get(&line).cloned().flatten()?;
+                match socket.write(&bytes) {
+                    (Wrote::Taken, rest) => {
+                        if rest {
+                            self.spawn(async move { drop(socket.drain().await) });
+                        }
+                        None
+                    }
+                    (wrote, _) => self.line_over(line).then_some(match wrote {
+                        Wrote::Nothing => Input::LineUnwritten(line),
+                        _ => Input::LineEnded(line),
+                    }),
+                }
+            }
+            Output::Line(LineAction::Close(line)) => {
+                self.line_over(line);
+                None
+            }
+            Output::Log(line) => {
+                tracing::info!(scheduler = self.name, "{line}");
+                None
+            }
+            Output::End => {
+                self.over.set(true);
+                self.wake.add_permits(1);
+                None
+            }
+        }
+    }
+
+    fn client_over(&self, client: ClientId) -> bool {
+        let socket = self.clients.borrow_mut().remove(&client);
+        socket.inspect(|socket| socket.close()).is_some()
+    }
+
+    fn line_over(&self, line: LineId) -> bool {
+        let socket = self.lines.borrow_mut().remove(&line);
+        if let Some(Some(socket)) = &socket {
+            socket.close();
+        }
+        socket.is_some()
+    }
+
+    async fn listen(self: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, from)) => {
+                    let client = ClientId(self.next_client.replace(self.next_client.get() + 1));
+                    let socket = Socket::new(stream);
+                    self.clients.borrow_mut().insert(client, socket.clone());
+                    self.step(vec![Input::ClientOpened(client, from.ip())]);
+                    self.spawn(self.clone().serve(client, socket));
+                }
+                Err(problem) => {
+                    tracing::warn!(scheduler = self.name, %problem, "accept");
+                    Timer::after(SHORT).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, client: ClientId, socket: Rc<Socket>) {
+        let mut decoder = Decoder::default();
+        loop {
+            let read = socket.read(&self.buffer).await.unwrap_or(0);
+            if !self.clients.borrow().contains_key(&client) {
+                return;
+            }
+            if read == 0 {
+                break;
+            }
+            decoder.feed(&self.buffer.borrow()[..read]);
+            let (messages, spoilt) = messages(&mut decoder);
+            let mut inputs: Vec<Input> =
+                messages.into_iter().map(|message| Input::ClientSaid(client, message)).collect();
+            if let Some(problem) = spoilt {
+                tracing::debug!(scheduler = self.name, %problem, "a client");
+                inputs.push(Input::ClientSpoilt(client));
+            }
+            self.step(inputs);
+            futures_lite::future::yield_now().await;
+        }
+        if self.client_over(client) {
+            self.step(vec![Input::ClientClosed(client)]);
+        }
+    }
+
+    async fn dial(self: Rc<Self>, line: LineId, address: String) {
+        let made = match address.parse::<SocketAddr>() {
+            Ok(address) => Async::<TcpStream>::connect(address).await,
+            Err(e) => Err(std::io::Error::new(std::io::ErrorKind::InvalidInput, e)),
+        };
+        // Given up meanwhile: the connection, if there is one, ends here.
+        if !self.lines.borrow().contains_key(&line) {
+            return;
+        }
+        let socket = match made {
+            Ok(stream) => Socket::new(stream),
+            Err(problem) => {
+                self.lines.borrow_mut().remove(&line);
+                let refused = problem.kind() == std::io::ErrorKind::ConnectionRefused;
+                let input = if refused { Input::LineRefused(line) } else { Input::LineEnded(line) };
+                return self.step(vec![input]);
+            }
+        };
+        self.lines.borrow_mut().insert(line, Some(socket.clone()));
+        self.step(vec![Input::LineOpened(line)]);
+        self.hear(line, socket).await;
+    }
+
+    async fn hear(self: &Rc<Self>, line: LineId, socket: Rc<Socket>) {
+        let mut decoder = Decoder::default();
+        loop {
+            let read = socket.read(&self.buffer).await.unwrap_or(0);
+            if !self.lines.borrow().contains_key(&line) {
+                return;
+            }
+            if read == 0 {
+                break;
+            }
+            decoder.feed(&self.buffer.borrow()[..read]);
+            let (messages, spoilt) = messages(&mut decoder);
+            let mut inputs: Vec<Input> =
+                messages.into_iter().map(|message| Input::LineSaid(line, message)).collect();
+            if let Some(problem) = spoilt {
+                tracing::debug!(scheduler = self.name, %problem, "a machine");
+                inputs.push(Input::LineSpoilt(line));
+            }
+            self.step(inputs);
+            futures_lite::future::yield_now().await;
+        }
+        if self.line_over(line) {
+            self.step(vec![Input::LineEnded(line)]);
+        }
+    }
+
+    fn follow(self: &Rc<Self>, address: String) {
+        let (this, that) = (self.clone(), self.clone());
+        let noticed = move || this.door.borrow().noticed();
+        let take = move |data: &str| match tidespur_platform::board::notice(&that.site, data) {
+            Ok(notice) => that.step(vec![Input::Noticed(notice)]),
+            Err(problem) => tracing::warn!(scheduler = that.name, problem),
+        };
+        self.spawn(board::follow(address, self.board.clone(), noticed, take));
+    }
+
+    async fn signals(self: Rc<Self>, mut signals: Signals) {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Term) => {
+                    tracing::info!(scheduler = self.name, "told to end");
+                    self.step(vec![Input::Leave]);
+                }
+                Ok(Signal::Hup) => {
+                    tracing::info!(scheduler = self.name, "told to read its configuration again");
+                    self.spawn(self.clone().reload());
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Reads the configuration again; until it can be read, what was read before holds.
+    async fn reload(self: Rc<Self>) {
+        for _ in 0..REREADS {
+            let read = config::path()
+                .and_then(|path| {
+                    std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))
+                })
+                .and_then(|text| config::read(&text));
+            match read {
+                Ok(config) => {
+                    if *self.board.at.borrow() != config.board {
+                        tracing::info!(scheduler = self.name, board = config.board, "another notice board");
+                        self.board.at.replace(config.board.clone());
+                        self.follow(config.board);
+                    }
+                    return;
+                }
+                Err(problem) => tracing::warn!(scheduler = self.name, problem, "the old settings hold"),
+            }
+            Timer::after(REREAD).await;
+        }
+    }
+}
+
+fn messages(decoder: &mut Decoder) -> (Vec<Message>, Option<MessageError>) {
+    let mut messages = Vec::new();
+    loop {
+        match decoder.message() {
+            Ok(Some(message)) => messages.push(message),
+            Ok(None) => return (messages, None),
+            Err(problem) => return (messages, Some(problem)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/ask.rs
@@ -0,0 +1,112 @@
+//! A set-up's fields to a task, with all that can be wrong with them.
+
+use crate::message::{Message, code};
+use std::collections::BTreeMap;
+use tidespur_policy::interface::{Note, Report, Seconds, ServiceId, Task, TaskId, Why};
+use tidespur_settings::{Site, words};
+
+/// An owner that says that it waits longer than this is not believed.
+const WAIT_MOST: Seconds = 3600.0;
+/// Nor is a task that is to run longer than this.
+const LIFE_MOST: Seconds = 1e7;
+
+/// What a set-up asks for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// What the policy is told; its id is the caller's to give.
+    pub task: Task,
+    /// The machine that holds the task already.
+    pub at: Option<String>,
+}
+
+fn fields(text: &str) -> BTreeMap<&str, &str> {
+    text.split(';').filter_map(|field| field.split_once(':')).map(|(k, v)| (k.trim(), v.trim())).collect()
+}
+
+fn number(what: &str, text: &str) -> Result<f64, String> {
+    let number: f64 = text.parse().map_err(|_| format!("{what}: no number"))?;
+    if number.is_finite() { Ok(number) } else { Err(format!("{what}: not finite")) }
+}
+
+/// Reads a set-up that came at `now`.
+///
+/// # Errors
+/// Names the field that can't be used.
+pub fn read(site: &Site, now: Seconds, message: &Message) -> Result<Ask, String> {
+    let text = |code, what: &str| message.text(code).ok_or_else(|| format!("{what} is missing or no text"));
+    let class = text(code::CLASS, "the class")?;
+    let class = site.classes.iter().position(|name| name == class).ok_or("a class that is not known")?;
+    let asks = fields(text(code::ASKS, "what the task asks for")?);
+    let field = |name: &str| asks.get(name).copied().ok_or_else(|| format!("{name} is missing"));
+    let most = |of: fn(&tidespur_policy::interface::Kind) -> f64, admit: f64| {
+        site.settings.kinds.iter().map(of).fold(0.0, f64::max) * admit.max(1.0)
+    };
+    let cores = number("cores", field("cores")?)?;
+    let memory = number("memory", field("memory")?)?;
+    // No machine admits more, however empty: waiting would not help.
+    if !(cores > 0.0 && cores <= most(|kind| kind.cores, site.settings.admit_cores)) {
+        return Err("cores: out of range".into());
+    }
+    if !(memory >= 0.0 && memory <= most(|kind| kind.memory, site.settings.admit_memory)) {
+        return Err("memory: out of range".into());
+    }
+    let service = field("service")?;
+    if service.is_empty() || text(code::NAME, "the task's name")?.is_empty() {
+        return Err("an empty name".into());
+    }
+    let life = match message.text(code::HINT) {
+        None if message.get(code::HINT).is_some() => return Err("the hint: no text".into()),
+        None => None,
+        Some(hint) => Some(number("the hint", hint)? / 1000.0),
+    };
+    if life.is_some_and(|life| !(0.0..=LIFE_MOST).contains(&life)) {
+        return Err("the hint: out of range".into());
+    }
+    let at = asks.get("at").map(|at| (*at).to_owned());
+    let deadline = match (text(code::WAIT, "the wait"), &at) {
+        (_, Some(_)) => f64::INFINITY,
+        (Err(problem), None) => return Err(problem),
+        (Ok(wait), None) => {
+            let wait = number("the wait", wait)? / 1000.0;
+            if !(wait > 0.0 && wait <= WAIT_MOST) {
+                return Err("the wait: out of range".into());
+            }
+            now + wait
+        }
+    };
+    let task = Task {
+        id: TaskId(0),
+        class,
+        tenant: 0,
+        service: ServiceId(words::hash(service)),
+        deadline,
+        life,
+        cores,
+        memory,
+        returned: message.text(code::RETRY) == Some("1"),
+    };
+    Ok(Ask { task, at })
+}
+
+/// The load that came along, if any of it can be read.
+pub fn report(message: &Message) -> Option<Report> {
+    let values = fields(message.text(code::LOAD)?);
+    let values = values.into_iter().filter_map(|(k, v)| Some((k.to_owned(), v.parse().ok()?))).collect();
+    Some(words::report_of(values)).filter(|report| *report != Report::default())
+}
+
+/// Why something was refused or released.
+pub fn why(message: &Message) -> Why {
+    const WORDS: [&str; 7] = ["lack_cpu", "lack_ram", "backlog", "unfit", "killed", "displaced", "dismissed"];
+    let word = message.text(code::WORD).unwrap_or("");
+    words::why_of(WORDS.iter().position(|w| *w == word).map_or(0, |i| i as u32 + 1))
+}
+
+/// What a note tells; `None` for one that is not known.
+pub fn note(message: &Message) -> Option<Note> {
+    const WORDS: [&str; 5] = ["running", "use_cpu", "use_ram", "health", "ram_high"];
+    let word = message.text(code::WORD)?;
+    let sort = WORDS.iter().position(|w| *w == word)? as u32 + 1;
+    let level = message.text(code::FIGURE).and_then(|figure| figure.parse().ok()).unwrap_or(0.0);
+    words::note_of(sort, level)
+}
--- /dev/null
+++ b/crates/platform/src/board.rs
@@ -0,0 +1,132 @@
+//! The notice board: server-sent events to numbered changes of the list of machines.
+
+use serde::Deserialize;
+use tidespur_policy::interface::{Entry, MachineId, Standing};
+use tidespur_settings::{Site, words};
+
+/// One event may hold so many bytes.
+const EVENT_MOST: usize = 1 << 20;
+
+/// A line of the list, with the address that only sockets need.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// What the policy is told.
+    pub entry: Entry,
+    /// The machine's name on the platform.
+    pub name: String,
+    /// Where it listens.
+    pub address: String,
+}
+
+/// One numbered event.
+#[derive(Clone, Debug)]
+pub struct Notice {
+    /// Its number.
+    pub number: u64,
+    /// It holds the whole list.
+    pub whole: bool,
+    /// What it tells.
+    pub listed: Vec<Listed>,
+}
+
+#[derive(Deserialize)]
+struct WireNotice {
+    rev: u64,
+    pool: Option<WirePool>,
+}
+
+#[derive(Deserialize)]
+struct WirePool {
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<WireEntry>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireEntry {
+    instance_id: String,
+    #[serde(default)]
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: usize,
+    lifecycle: String,
+    #[serde(default)]
+    started_at_ms: Option<f64>,
+    #[serde(default, rename = "left_over")]
+    left_over: Option<[f64; 2]>,
+}
+
+/// The id that the policy knows a machine by: the same at all schedulers.
+pub fn machine_id(name: &str) -> MachineId {
+    MachineId(words::hash(name))
+}
+
+/// Reads one event's data.
+///
+/// # Errors
+/// Says what can't be read; such an event counts as none.
+pub fn notice(site: &Site, data: &str) -> Result<Notice, String> {
+    let wire: WireNotice = serde_json::from_str(data).map_err(|e| format!("the notice board: {e}"))?;
+    let pool = wire.pool.unwrap_or(WirePool { reset: false, instances: Vec::new() });
+    let index = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
+    let listed = pool.instances.into_iter().map(|wire| {
+        let standing = match wire.lifecycle.as_str() {
+            "Ready" => Standing::Ready,
+            "Gone" => Standing::Gone,
+            // A state not known takes nothing new, and that is the safe reading.
+            _ => Standing::Draining,
+        };
+        let [free_cores, free_memory] = wire.left_over.unwrap_or_default();
+        let started = wire.started_at_ms.unwrap_or(0.0) / 1000.0;
+        let entry = Entry {
+            machine: machine_id(&wire.instance_id),
+            kind: index(&site.kinds, &wire.machine_type),
+            cell: wire.cell,
+            zone: index(&site.zones, &wire.zone),
+            standing,
+            up_since: (started > 0.0).then_some(started),
+            free_cores,
+            free_memory,
+        };
+        Listed { entry, name: wire.instance_id, address: wire.host_port }
+    });
+    Ok(Notice { number: wire.rev, whole: pool.reset, listed: listed.collect() })
+}
+
+/// Puts server-sent events together from lines. An event without its blank line at the end is none.
+#[derive(Debug, Default)]
+pub struct Events {
+    data: String,
+}
+
+impl Events {
+    /// Takes one line, without its end; gives out the data of an event that it ends.
+    ///
+    /// # Errors
+    /// An event that is too long or no text; the stream is of no further use.
+    pub fn line(&mut self, line: &[u8]) -> Result<Option<String>, String> {
+        let line = std::str::from_utf8(line).map_err(|e| format!("the notice board: {e}"))?;
+        let line = line.strip_suffix('\r').unwrap_or(line);
+        if line.is_empty() {
+            let data = std::mem::take(&mut self.data);
+            return Ok(Some(data).filter(|data| !data.is_empty()));
+        }
+        if let Some(data) = line.strip_prefix("data:") {
+            if !self.data.is_empty() {
+                self.data.push('\n');
+            }
+            self.data.push_str(data.strip_prefix(' ').unwrap_or(data));
+            if self.data.len() > EVENT_MOST {
+                return Err("the notice board: an event without end".into());
+            }
+        }
+        // Numbers stand in the data too; comments and other fields mean nothing.
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/counts.rs
@@ -0,0 +1,40 @@
+//! What the door has done, for its log.
+
+/// Counters since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Set-ups taken.
+    pub taken: u64,
+    /// Set-ups of tasks that a machine holds already.
+    pub in_place: u64,
+    /// Set-ups that can't be used, and messages that mean nothing.
+    pub useless: u64,
+    /// Answers passed on.
+    pub placed: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Failures.
+    pub failed: u64,
+    /// Set-ups that their owners gave up, or whose connection ended.
+    pub dropped: u64,
+    /// Offers written or dialled for.
+    pub offers: u64,
+    /// Offers without an answer in time.
+    pub late: u64,
+    /// Offers that never left.
+    pub unsent: u64,
+    /// Offers whose connection ended.
+    pub broken: u64,
+    /// Offers that machines turned away.
+    pub full: u64,
+    /// Offers answered by an error.
+    pub errors: u64,
+    /// Messages of machines that belong to nothing here.
+    pub strays: u64,
+    /// Standing tasks that came to an end.
+    pub ended: u64,
+    /// Standing tasks lost with their machine.
+    pub lost: u64,
+    /// Connections of clients closed from here.
+    pub closed: u64,
+}
--- /dev/null
+++ b/crates/platform/src/lines.rs
@@ -0,0 +1,387 @@
+//! Connections to machines: which one carries what, what the end of one means, and when a machine is dead.
+//!
+//! One open set-up a connection while there is room: after a spoilt answer a connection is of no use for
+//! anything else on it. While a machine holds a task of ours, one connection to it is kept and tested, as a
+//! machine that vanished says nothing.
+
+use crate::LineId;
+use crate::message::{Id, Kind, Message, cause, code};
+use std::collections::{BTreeMap, VecDeque};
+use tidespur_policy::interface::{MachineId, Seconds};
+
+/// A connection on which nothing was heard for this long carries no new set-up: a new one is dialled, and if it
+/// does not come up that proves that nothing ran. Guards against machines that died or hang unseen; costs a
+/// handshake.
+const FRESH: Seconds = 0.5;
+/// A machine that holds a task of ours and was silent for this long is tested.
+const TEST_AFTER: Seconds = 1.0;
+/// A test without an answer for this long: the connection is given up.
+const TEST_FOR: Seconds = 1.5;
+/// A machine silent for this long that can't be dialled either is lost, and what stood there has ended. The
+/// platform allows 8 s from the end. Harm: one that is only cut off for longer loses its tasks.
+const LOST_AFTER: Seconds = 5.0;
+/// Pause between dials that fail.
+const REDIAL: Seconds = 0.25;
+/// An idle connection that is not needed is closed after this.
+const IDLE: Seconds = 3.0;
+/// Messages that wait for the next connection to a machine.
+const QUEUE_MOST: usize = 1_000;
+
+/// What is to be done with connections.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LineAction {
+    /// Dial; `Opened`, `Refused` or `Ended` answers.
+    Dial(LineId, String),
+    /// Write these bytes.
+    Write(LineId, Vec<u8>),
+    /// Close, also while it is being dialled. Nothing answers.
+    Close(LineId),
+}
+
+/// What became of set-ups and machines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// No byte of this set-up left.
+    Unsent(Id),
+    /// The connection ended under this set-up: it may have run.
+    Broken(Id),
+    /// The machine is dead, or was silent too long: what stood there is over.
+    Lost(MachineId),
+}
+
+#[derive(Debug)]
+struct Line {
+    machine: MachineId,
+    /// Since when it is being dialled; `None`: it is open.
+    dialled: Option<Seconds>,
+    /// Set-ups without an answer: one, or more where there was no room for another connection.
+    offers: Vec<Id>,
+    /// To be written once it is open.
+    waiting: Vec<u8>,
+    heard_at: Seconds,
+    used_at: Seconds,
+    tested_at: Option<Seconds>,
+}
+
+impl Line {
+    fn idle(&self) -> bool {
+        self.dialled.is_none() && self.offers.is_empty()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    address: String,
+    gone: bool,
+    /// Tasks of ours that stand there.
+    holds: usize,
+    heard_at: Seconds,
+    /// Dials that failed in a row, those that were refused, and when the next may go.
+    fails: u32,
+    refused: u32,
+    redial_at: Seconds,
+    queue: VecDeque<Vec<u8>>,
+}
+
+/// All connections to machines.
+#[derive(Debug)]
+pub struct Lines {
+    peers: BTreeMap<MachineId, Peer>,
+    lines: BTreeMap<LineId, Line>,
+    next: u64,
+    /// Connections that may be there at once.
+    most: usize,
+    connect_within: Seconds,
+}
+
+impl Lines {
+    /// No connections yet; at most `most` at once, each made within `connect_within`.
+    pub fn new(most: usize, connect_within: Seconds) -> Self {
+        Self { peers: BTreeMap::new(), lines: BTreeMap::new(), next: 0, most: most.max(2), connect_within }
+    }
+
+    /// The machine at the other end.
+    pub fn machine(&self, line: LineId) -> Option<MachineId> {
+        self.lines.get(&line).map(|line| line.machine)
+    }
+
+    /// Connections there are.
+    pub fn count(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// Machines that are known.
+    pub fn peers(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// The list tells of a machine. One at whose address another listens now is no more.
+    pub fn listed(
+        &mut self,
+        now: Seconds,
+        machine: MachineId,
+        address: &str,
+        gone: bool,
+        news: &mut Vec<News>,
+    ) {
+        if !gone {
+            for (&other, peer) in &mut self.peers {
+                if other != machine && peer.address == address && peer.gone {
+                    peer.address.clear();
+                    if peer.holds > 0 {
+                        news.push(News::Lost(other));
+                    }
+                }
+            }
+        }
+        let peer = self.peers.entry(machine).or_insert_with(|| Peer { heard_at: now, ..Peer::default() });
+        // One that has gone and was forgotten gets no address back: another may listen there.
+        let forgotten = gone && peer.address.is_empty();
+        if !address.is_empty() && !forgotten {
+            peer.address = address.to_owned();
+        }
+        peer.gone = gone;
+    }
+
+    /// Tasks of ours that stand at a machine came or went.
+    pub fn hold(&mut self, now: Seconds, machine: MachineId, more: bool) {
+        let Some(peer) = self.peers.get_mut(&machine) else { return };
+        if more {
+            if peer.holds == 0 {
+                (peer.heard_at, peer.fails, peer.refused) = (now, 0, 0);
+            }
+            peer.holds += 1;
+        } else {
+            peer.holds = peer.holds.saturating_sub(1);
+        }
+    }
+
+    fn dial(&mut self, now: Seconds, machine: MachineId, out: &mut Vec<LineAction>) -> Option<LineId> {
+        let address = self.peers.get(&machine).map(|peer| peer.address.clone()).filter(|a| !a.is_empty())?;
+        if self.lines.len() >= self.most {
+            let spare = self.lines.iter().filter(|(id, line)| line.idle() && !self.needed(**id, line));
+            let (&spare, _) = spare.min_by(|a, b| a.1.used_at.total_cmp(&b.1.used_at))?;
+            self.lines.remove(&spare);
+            out.push(LineAction::Close(spare));
+        }
+        self.next += 1;
+        let line = LineId(self.next);
+        out.push(LineAction::Dial(line, address));
+        let (offers, waiting) = (Vec::new(), Vec::new());
+        let made = Line {
+            machine,
+            dialled: Some(now),
+            offers,
+            waiting,
+            heard_at: now,
+            used_at: now,
+            tested_at: None,
+        };
+        self.lines.insert(line, made);
+        Some(line)
+    }
+
+    /// Whether it is the one connection to a machine that holds a task of ours.
+    fn needed(&self, id: LineId, line: &Line) -> bool {
+        self.peers.get(&line.machine).is_some_and(|peer| peer.holds > 0)
+            && !self.lines.iter().any(|(&other, o)| {
+                other != id && o.machine == line.machine && o.dialled.is_none() && o.tested_at.is_none()
+            })
+    }
+
+    /// Sends a set-up to a machine; `None`: there is no way to it, and nothing left.
+    pub fn offer(
+        &mut self,
+        now: Seconds,
+        machine: MachineId,
+        id: Id,
+        bytes: Vec<u8>,
+        out: &mut Vec<LineAction>,
+    ) -> Option<LineId> {
+        let fresh = self.lines.iter_mut().filter(|(_, line)| {
+            line.machine == machine && line.idle() && line.tested_at.is_none() && now - line.heard_at < FRESH
+        });
+        if let Some((&at, line)) = fresh.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)) {
+            line.offers.push(id);
+            line.used_at = now;
+            out.push(LineAction::Write(at, bytes));
+            return Some(at);
+        }
+        if let Some(at) = self.dial(now, machine, out) {
+            let line = self.lines.get_mut(&at)?;
+            line.offers.push(id);
+            line.waiting = bytes;
+            return Some(at);
+        }
+        // No room for another connection: share the one with the least on it.
+        let shared =
+            self.lines.iter_mut().filter(|(_, line)| line.machine == machine && line.tested_at.is_none());
+        let (&at, line) = shared.min_by_key(|(_, line)| line.offers.len())?;
+        line.offers.push(id);
+        line.used_at = now;
+        if line.dialled.is_some() {
+            line.waiting.extend(bytes);
+        } else {
+            out.push(LineAction::Write(at, bytes));
+        }
+        Some(at)
+    }
+
+    /// Tells a machine something about a task that stands there, now or once there is a connection.
+    pub fn tell(&mut self, now: Seconds, machine: MachineId, bytes: Vec<u8>, out: &mut Vec<LineAction>) {
+        let open = self.lines.iter_mut().filter(|(_, line)| {
+            line.machine == machine && line.dialled.is_none() && line.tested_at.is_none()
+        });
+        if let Some((&at, line)) = open.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)) {
+            line.used_at = now;
+            out.push(LineAction::Write(at, bytes));
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&machine) else { return };
+        if peer.queue.len() >= QUEUE_MOST {
+            peer.queue.pop_front();
+        }
+        peer.queue.push_back(bytes);
+    }
+
+    /// A set-up has had its answer: its connection is free for another.
+    pub fn settled(&mut self, line: LineId, id: Id) {
+        if let Some(line) = self.lines.get_mut(&line) {
+            line.offers.retain(|&offer| offer != id);
+        }
+    }
+
+    /// Gives a set-up up. With `suspect`, nothing was heard in time: the connection is used no more, and closed
+    /// unless others are open on it.
+    pub fn give_up(&mut self, line: LineId, id: Id, suspect: bool, out: &mut Vec<LineAction>) {
+        let Some(at) = self.lines.get_mut(&line) else { return };
+        at.offers.retain(|&offer| offer != id);
+        if at.dialled.is_none() {
+            out.push(LineAction::Write(line, Message::release(id, cause::NORMAL).bytes()));
+        }
+        if at.offers.is_empty() && (suspect || at.dialled.is_some()) {
+            self.lines.remove(&line);
+            out.push(LineAction::Close(line));
+        }
+    }
+
+    /// A connection is made.
+    pub fn opened(&mut self, now: Seconds, id: LineId, out: &mut Vec<LineAction>) {
+        let Some(line) = self.lines.get_mut(&id) else { return out.push(LineAction::Close(id)) };
+        (line.dialled, line.heard_at) = (None, now);
+        if !line.waiting.is_empty() {
+            out.push(LineAction::Write(id, std::mem::take(&mut line.waiting)));
+        }
+        if let Some(peer) = self.peers.get_mut(&line.machine) {
+            (peer.fails, peer.refused, peer.heard_at) = (0, 0, now);
+            while let Some(bytes) = peer.queue.pop_front() {
+                out.push(LineAction::Write(id, bytes));
+            }
+        }
+    }
+
+    /// Something whole was read.
+    pub fn heard(&mut self, now: Seconds, id: LineId) {
+        let Some(line) = self.lines.get_mut(&id) else { return };
+        (line.heard_at, line.tested_at) = (now, None);
+        if let Some(peer) = self.peers.get_mut(&line.machine) {
+            peer.heard_at = now;
+        }
+    }
+
+    /// A connection ended, or could not be made; `refused`: nobody listens there. `unwritten`: what was written
+    /// last did not leave.
+    pub fn ended(&mut self, now: Seconds, id: LineId, refused: bool, unwritten: bool, news: &mut Vec<News>) {
+        let Some(mut line) = self.lines.remove(&id) else { return };
+        let dialling = line.dialled.is_some();
+        if unwritten && let Some(last) = line.offers.pop() {
+            news.push(News::Unsent(last));
+        }
+        news.extend(
+            line.offers.into_iter().map(|o| if dialling { News::Unsent(o) } else { News::Broken(o) }),
+        );
+        let alive = self.lines.values().any(|other| {
+            other.machine == line.machine && other.dialled.is_none() && now - other.heard_at < TEST_AFTER
+        });
+        let Some(peer) = self.peers.get_mut(&line.machine) else { return };
+        if dialling {
+            peer.fails += 1;
+            peer.refused = if refused { peer.refused + 1 } else { 0 };
+            peer.redial_at = now + REDIAL;
+            // A machine may refuse because it has too many connections: then it is heard on another.
+            if peer.refused >= 2 && !alive && peer.holds > 0 {
+                news.push(News::Lost(line.machine));
+            }
+        }
+    }
+
+    /// A connection brought what can't be read: it is of no further use.
+    pub fn spoilt(&mut self, now: Seconds, id: LineId, out: &mut Vec<LineAction>, news: &mut Vec<News>) {
+        if self.lines.contains_key(&id) {
+            out.push(LineAction::Close(id));
+            self.ended(now, id, false, false, news);
+        }
+    }
+
+    /// Time goes on: dials that take too long, tests, silence, idle connections.
+    pub fn tick(&mut self, now: Seconds, out: &mut Vec<LineAction>, news: &mut Vec<News>) {
+        let slow =
+            self.lines.iter().filter(|(_, l)| l.dialled.is_some_and(|at| now - at > self.connect_within));
+        let silent = self.lines.iter().filter(|(_, l)| l.tested_at.is_some_and(|at| now - at > TEST_FOR));
+        let idle = self
+            .lines
+            .iter()
+            .filter(|&(&id, line)| line.idle() && now - line.used_at > IDLE && !self.needed(id, line));
+        let over: Vec<LineId> = slow.chain(silent).map(|(&id, _)| id).collect();
+        let idle: Vec<LineId> = idle.map(|(&id, _)| id).collect();
+        for id in over {
+            self.spoilt(now, id, out, news);
+        }
+        for id in idle {
+            self.lines.remove(&id);
+            out.push(LineAction::Close(id));
+        }
+        let wanted = |peer: &Peer| peer.holds > 0 || !peer.queue.is_empty();
+        let wanted: Vec<MachineId> =
+            self.peers.iter().filter(|(_, peer)| wanted(peer)).map(|(&machine, _)| machine).collect();
+        for machine in wanted {
+            self.keep(now, machine, out, news);
+        }
+        let used: std::collections::BTreeSet<MachineId> = self.lines.values().map(|l| l.machine).collect();
+        self.peers.retain(|id, peer| !peer.gone || peer.holds > 0 || used.contains(id));
+    }
+
+    /// Keeps one connection to a machine that holds a task of ours, and finds out whether it lives.
+    fn keep(&mut self, now: Seconds, machine: MachineId, out: &mut Vec<LineAction>, news: &mut Vec<News>) {
+        let dialling = self.lines.values().any(|line| line.machine == machine && line.dialled.is_some());
+        let Some(peer) = self.peers.get(&machine) else { return };
+        if peer.holds > 0 && now - peer.heard_at > LOST_AFTER && peer.fails >= 2 {
+            news.push(News::Lost(machine));
+            return;
+        }
+        let (heard_at, redial_at) = (peer.heard_at, peer.redial_at);
+        let usable =
+            |line: &Line| line.machine == machine && line.dialled.is_none() && line.tested_at.is_none();
+        let best = self.lines.iter_mut().filter(|(_, line)| usable(line));
+        match best.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)) {
+            Some((&id, line))
+                if now - line.heard_at > TEST_AFTER
+                    && (line.offers.is_empty() || now - heard_at > TEST_AFTER) =>
+            {
+                line.tested_at = Some(now);
+                let test = Message::new(Kind::Test, Id(0)).with(code::CAUSE, &[0]);
+                out.push(LineAction::Write(id, test.bytes()));
+            }
+            Some(_) => {}
+            None if !dialling && now >= redial_at => {
+                if self.dial(now, machine, out).is_none()
+                    && let Some(peer) = self.peers.get_mut(&machine)
+                {
+                    // No room, or no address: that is not known to be the machine's fault, but it can't be heard.
+                    (peer.fails, peer.redial_at) = (peer.fails + 1, now + REDIAL);
+                }
+            }
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/message.rs
@@ -0,0 +1,252 @@
+//! The platform's messages: frames and parameters, from bytes and back. Takes any bytes without harm.
+
+/// A message may hold so many bytes after its length.
+pub const MESSAGE_MOST: usize = 16 * 1024;
+/// Type and task, which every message has.
+const HEAD: usize = 9;
+
+/// A request's id on the platform: 16 hex digits there, eight bytes here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u64);
+
+impl std::fmt::Display for Id {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// What a message is, by its type.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A task to place, or one that a machine already holds.
+    SetUp,
+    /// Free; means nothing.
+    Progress,
+    /// The task stands.
+    Answer,
+    /// A refusal, a release, or a set-up given up, by its cause.
+    Release,
+    /// Free; the release was heard.
+    Heard,
+    /// Asks whether the connection works.
+    Test,
+    /// It does, or not, by its cause.
+    Tested,
+    /// News of a task that stands.
+    Note,
+    /// A standing task ends; its owner comes again.
+    Move,
+}
+
+impl Kind {
+    const ALL: [(u8, Self); 9] = [
+        (1, Self::SetUp),
+        (6, Self::Progress),
+        (9, Self::Answer),
+        (12, Self::Release),
+        (16, Self::Heard),
+        (52, Self::Test),
+        (53, Self::Tested),
+        (44, Self::Note),
+        (51, Self::Move),
+    ];
+
+    fn of(number: u8) -> Option<Self> {
+        Self::ALL.iter().find(|(n, _)| *n == number).map(|(_, kind)| *kind)
+    }
+
+    fn number(self) -> u8 {
+        Self::ALL.iter().find(|(_, kind)| *kind == self).map_or(0, |(n, _)| *n)
+    }
+}
+
+/// Codes of the parameters.
+pub mod code {
+    /// Class, by name.
+    pub const CLASS: u8 = 180;
+    /// How long the sender waits, in milliseconds.
+    pub const WAIT: u8 = 183;
+    /// `1` where an owner tries again.
+    pub const RETRY: u8 = 189;
+    /// Name of the task.
+    pub const NAME: u8 = 192;
+    /// What the task asks for.
+    pub const ASKS: u8 = 195;
+    /// What is noted, or why something was refused or released.
+    pub const WORD: u8 = 201;
+    /// Load of a machine.
+    pub const LOAD: u8 = 207;
+    /// How long the task is expected to run, in milliseconds.
+    pub const HINT: u8 = 210;
+    /// The figure of a note.
+    pub const FIGURE: u8 = 216;
+    /// Cause: one byte.
+    pub const CAUSE: u8 = 222;
+    /// Description: bytes that are passed on as they are.
+    pub const DESCRIPTION: u8 = 225;
+}
+
+/// Causes.
+pub mod cause {
+    /// A standing task came to its end; from an owner, before the answer: the set-up is given up.
+    pub const NORMAL: u8 = 16;
+    /// A standing task was moved, or ended by its owner.
+    pub const ENDED: u8 = 31;
+    /// Refused: full, never ran.
+    pub const FULL: u8 = 34;
+    /// Failed, reset or cut.
+    pub const FAILED: u8 = 41;
+    /// Refused by the scheduler itself: too much at once.
+    pub const CONGESTED: u8 = 42;
+    /// An error of the machine.
+    pub const ERROR: u8 = 47;
+    /// Failed: what was asked can't be read or can't be had.
+    pub const CONTENT: u8 = 100;
+    /// Never left.
+    pub const MOOT: u8 = 102;
+}
+
+/// A message as it came: its parameters are as long as they say and no longer than the message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// What it is.
+    pub kind: Kind,
+    /// The task that it names.
+    pub id: Id,
+    /// Its parameters, in order: code and value.
+    pub parameters: Vec<(u8, Vec<u8>)>,
+}
+
+impl Message {
+    /// A message without parameters.
+    pub fn new(kind: Kind, id: Id) -> Self {
+        Self { kind, id, parameters: Vec::new() }
+    }
+
+    /// The same with one parameter more. A value beyond [`MESSAGE_MOST`] is cut to it, as no peer reads it.
+    #[must_use]
+    pub fn with(mut self, code: u8, value: &[u8]) -> Self {
+        self.parameters.push((code, value[..value.len().min(MESSAGE_MOST)].to_vec()));
+        self
+    }
+
+    /// A release, or a set-up given up.
+    pub fn release(id: Id, cause: u8) -> Self {
+        Self::new(Kind::Release, id).with(code::CAUSE, &[cause])
+    }
+
+    /// The first parameter of this code.
+    pub fn get(&self, code: u8) -> Option<&[u8]> {
+        self.parameters.iter().find(|(c, _)| *c == code).map(|(_, value)| value.as_slice())
+    }
+
+    /// The first parameter of this code as text; `None` also where it is no UTF-8.
+    pub fn text(&self, code: u8) -> Option<&str> {
+        std::str::from_utf8(self.get(code)?).ok()
+    }
+
+    /// The cause, where one is given.
+    pub fn cause(&self) -> Option<u8> {
+        self.get(code::CAUSE).and_then(|value| <[u8; 1]>::try_from(value).ok()).map(|[cause]| cause)
+    }
+
+    /// Its bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        let length = HEAD + self.parameters.iter().map(|(_, value)| 3 + value.len()).sum::<usize>();
+        let mut bytes = Vec::with_capacity(2 + length);
+        bytes.extend((length as u16).to_be_bytes());
+        bytes.push(self.kind.number());
+        bytes.extend(self.id.0.to_be_bytes());
+        for (code, value) in &self.parameters {
+            bytes.push(*code);
+            bytes.extend((value.len() as u16).to_be_bytes());
+            bytes.extend(value);
+        }
+        bytes
+    }
+}
+
+/// Why bytes are no message. Nothing after them can be read: the connection is of no further use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessageError {
+    /// A length below the head's, or above [`MESSAGE_MOST`].
+    Length(usize),
+    /// A type that is not known.
+    Type(u8),
+    /// Parameters that do not fill the message, of this task.
+    Parameters(Id),
+}
+
+impl std::fmt::Display for MessageError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Length(n) => write!(f, "a message of {n} bytes, {HEAD} to {MESSAGE_MOST} are allowed"),
+            Self::Type(n) => write!(f, "a message of type {n}, which is not known"),
+            Self::Parameters(id) => write!(f, "a message for task {id} whose parameters do not fill it"),
+        }
+    }
+}
+
+impl std::error::Error for MessageError {}
+
+/// Takes in bytes as they come and gives out whole messages. Holds at most one unfinished message and what was
+/// fed last.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    bytes: Vec<u8>,
+    read: usize,
+}
+
+impl Decoder {
+    /// Takes in bytes.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.bytes.drain(..self.read);
+        self.read = 0;
+        if self.bytes.is_empty() && self.bytes.capacity() > MESSAGE_MOST / 4 {
+            // Most connections hold nothing most of the time, and there are many.
+            self.bytes = Vec::new();
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Whether an unfinished message waits for its rest.
+    pub fn unfinished(&self) -> bool {
+        self.read < self.bytes.len()
+    }
+
+    /// The next whole message, if there is one.
+    ///
+    /// # Errors
+    /// The bytes are no message; the decoder is of no further use.
+    pub fn message(&mut self) -> Result<Option<Message>, MessageError> {
+        let rest = &self.bytes[self.read..];
+        let Some(&[high, low]) = rest.first_chunk::<2>() else { return Ok(None) };
+        let length = usize::from(u16::from_be_bytes([high, low]));
+        if !(HEAD..=MESSAGE_MOST).contains(&length) {
+            return Err(MessageError::Length(length));
+        }
+        let kind = match rest.get(2) {
+            None => return Ok(None),
+            Some(&number) => Kind::of(number).ok_or(MessageError::Type(number))?,
+        };
+        let Some(body) = rest.get(2..2 + length) else { return Ok(None) };
+        let Some((head, mut rest)) = body.split_first_chunk::<HEAD>() else { return Ok(None) };
+        let id = Id(head[1..].iter().fold(0, |id, &byte| id << 8 | u64::from(byte)));
+        let mut message = Message::new(kind, id);
+        while let Some((&[code, high, low], after)) = rest.split_first_chunk::<3>() {
+            let value = after.split_at_checked(usize::from(u16::from_be_bytes([high, low])));
+            let Some((value, after)) = value else { return Err(MessageError::Parameters(id)) };
+            message.parameters.push((code, value.to_vec()));
+            rest = after;
+        }
+        if !rest.is_empty() {
+            return Err(MessageError::Parameters(id));
+        }
+        self.read += 2 + length;
+        if self.read == self.bytes.len() {
+            self.bytes.clear();
+            self.read = 0;
+        }
+        Ok(Some(message))
+    }
+}
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -9,6 +9,8 @@
 
 use tidespur_policy::Scheduler;
 use tidespur_policy::interface::*;
+use tidespur_settings::Info;
+use tidespur_settings::words::{hash, note_of, report_of, why_of};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -148,234 +150,8 @@
     report: Option<BTreeMap<String, f64>>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Info {
-    balancers: usize,
-    ordinal: usize,
-    #[serde(default)]
-    locality: usize,
-    services: Vec<Service>,
-    #[serde(default)]
-    realms: Vec<Realm>,
-    #[serde(default)]
-    discovery: String,
-    family_info: Family,
-    limits: Limits,
-    #[serde(default)]
-    over_share_worth: f64,
-    report: ReportInfo,
-    safety: SafetyInfo,
-    tariffs: Tariffs,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Service {
-    aim_s: f64,
-    deadline_s: f64,
-    effect: String,
-    #[serde(default)]
-    group: String,
-    #[serde(default)]
-    window_s: f64,
-    credit: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Realm {
-    #[serde(default)]
-    quota_per_s: f64,
-    share: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-#[derive(Default)]
-struct Family {
-    accepts_memory: f64,
-    ack: String,
-    admit_cores: f64,
-    apart_by: Vec<String>,
-    class_calm: Vec<f64>,
-    cold_bears: f64,
-    eviction_as_moves: f64,
-    kind_by_class: Vec<i64>,
-    kind_cores: Vec<f64>,
-    lists_free: bool,
-    lost_after: Vec<f64>,
-    measured_by: String,
-    mem_of_kind: Vec<f64>,
-    one_home: bool,
-    priority_by_class: Vec<u32>,
-    refused_price: f64,
-    start_seconds: Vec<f64>,
-    together_max: Vec<u32>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Limits {
-    max_attempts: u32,
-    #[serde(default)]
-    max_retry_after_s: f64,
-    #[serde(default)]
-    peers: bool,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    retry_after: bool,
-}
-
-#[derive(Deserialize)]
-struct ReportInfo {
-    #[serde(default)]
-    via: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct SafetyInfo {
-    answer_slack_s: f64,
-    #[serde(default)]
-    ask_within_s: f64,
-    cold_from: f64,
-    cold_s: f64,
-    drain_grace_s: f64,
-    fall_multiple: f64,
-    overload_for_s: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(default)]
-#[derive(Default)]
-struct Tariffs {
-    fleet: f64,
-    moves: f64,
-    peer: f64,
-    probe: f64,
-}
-
-fn place_of(name: &str) -> Result<Option<Place>, String> {
-    Ok(Some(match name {
-        "all" => Place::All,
-        "zone" => Place::Zone,
-        "cell" => Place::Cell,
-        "machine" => Place::Machine,
-        "none" | "" => return Ok(None),
-        other => return Err(format!("a place must be all, zone, cell, machine or none, not {other:?}")),
-    }))
-}
-
-fn settings_of(info: Info) -> Result<Settings, String> {
-    let fam = info.family_info;
-    let lengths = [
-        ("kindCores", fam.kind_cores.len(), fam.mem_of_kind.len()),
-        ("classCalm", fam.class_calm.len(), info.services.len()),
-        ("lostAfter", fam.lost_after.len(), info.services.len()),
-        ("kindByClass", fam.kind_by_class.len(), info.services.len()),
-        ("priorityByClass", fam.priority_by_class.len(), info.services.len()),
-        ("apartBy", fam.apart_by.len(), info.services.len()),
-        ("togetherMax", fam.together_max.len(), info.services.len()),
-        ("startSeconds", fam.start_seconds.len(), info.services.len()),
-    ];
-    for (field, is, wanted) in lengths {
-        if is != wanted {
-            return Err(format!("settings: familyInfo.{field}: {is} values where {wanted} are needed"));
-        }
-    }
-    let mut classes = Vec::new();
-    for (i, s) in info.services.into_iter().enumerate() {
-        let effect = match s.effect.as_str() {
-            "safe" => Effect::Safe,
-            "unsafe" => Effect::Unsafe,
-            "keyed" => {
-                Effect::Keyed { group: place_of(&s.group)?.unwrap_or(Place::Machine), window: s.window_s }
-            }
-            other => return Err(format!("settings: services[].effect: {other:?} is not known")),
-        };
-        classes.push(Class {
-            aim: s.aim_s,
-            deadline: s.deadline_s,
-            effect,
-            worth: s.credit,
-            start_worth: fam.start_seconds[i],
-            calm: fam.class_calm[i],
-            fade: fam.lost_after[i],
-            kind: usize::try_from(fam.kind_by_class[i]).ok(),
-            priority: fam.priority_by_class[i],
-            spread: place_of(&fam.apart_by[i])?,
-            spread_most: fam.together_max[i],
-        });
-    }
-    let (safety, limits, tariffs) = (info.safety, info.limits, info.tariffs);
-    Ok(Settings {
-        ordinal: info.ordinal,
-        schedulers: info.balancers,
-        zone: info.locality,
-        classes,
-        tenants: info.realms.iter().map(|r| Tenant { share: r.share, quota_per_s: r.quota_per_s }).collect(),
-        kinds: fam
-            .kind_cores
-            .iter()
-            .zip(&fam.mem_of_kind)
-            .map(|(&cores, &memory)| Kind { cores, memory })
-            .collect(),
-        admit_cores: fam.admit_cores,
-        admit_memory: fam.accepts_memory,
-        one_home: fam.one_home,
-        confirm_when_running: fam.ack == "running",
-        subscribe: info.discovery == "ask",
-        lists_free: fam.lists_free,
-        reports: match info.report.via.as_str() {
-            "answers" => Reports::Answers,
-            "probe" => Reports::Probes,
-            _ => Reports::None,
-        },
-        reports_use: fam.measured_by == "used",
-        probes: limits.probes,
-        messages: limits.peers,
-        max_attempts: limits.max_attempts,
-        max_retry_after: if limits.retry_after { limits.max_retry_after_s } else { 0.0 },
-        over_share_worth: info.over_share_worth,
-        safety: Safety {
-            answer_slack: safety.answer_slack_s,
-            ask_within: safety.ask_within_s,
-            cold_from: safety.cold_from,
-            cold: safety.cold_s,
-            cold_bears: fam.cold_bears,
-            drain_grace: safety.drain_grace_s,
-            fall_multiple: safety.fall_multiple,
-            overload_for: safety.overload_for_s,
-        },
-        prices: Prices {
-            machines: tariffs.fleet,
-            refused: fam.refused_price,
-            moves: tariffs.moves,
-            eviction_as_moves: fam.eviction_as_moves,
-            probe: tariffs.probe,
-            message: tariffs.peer,
-        },
-    })
-}
-
-fn report_of(values: BTreeMap<String, f64>) -> Report {
-    let get = |name: &str| values.get(name).copied().filter(|v| v.is_finite());
-    Report { free_cores: get("x0"), free_memory: get("x1"), waiting: get("q"), busy: get("busy") }
-}
-
 fn ending_of(result: &str, remark: u32) -> Result<Ending, String> {
-    let why = match remark {
-        1 => Why::Cores,
-        2 => Why::Memory,
-        3 => Why::Queue,
-        4 => Why::NotHere,
-        5 => Why::Evicted,
-        6 => Why::PushedOut,
-        7 => Why::SentAway,
-        _ => Why::Unknown,
-    };
+    let why = why_of(remark);
     Ok(match result {
         "GOOD" => Ending::Finished,
         "BAD" => Ending::Failed,
@@ -408,11 +184,6 @@
     }
 }
 
-/// FNV-1a: the same number for a text at every instance.
-fn hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 struct Instance {
     name: String,
     scheduler: Scheduler,
@@ -547,7 +318,9 @@
                 return Ok(None);
             }
             Arrival::Start(start) => {
-                let made = settings_of(start.info)
+                let made = start
+                    .info
+                    .settings()
                     .and_then(|set| Scheduler::new(set, start.salt).map_err(|e| e.to_string()));
                 match made {
                     Ok(scheduler) => {
@@ -603,15 +376,7 @@
                 self.attempt(of, |task, of| Ok(Some(Event::Confirmed { task, attempt: of.copy })))?
             }
             Arrival::UpdateOf(of) => self.attempt(of, |task, of| {
-                let note = match of.sort {
-                    1 => Note::Runs,
-                    2 => Note::UsesCores(of.level),
-                    3 => Note::UsesMemory(of.level),
-                    4 => Note::Served(of.level),
-                    5 => Note::MachineMemory(of.level),
-                    _ => return Ok(None),
-                };
-                Ok(Some(Event::Note { task, note }))
+                Ok(note_of(of.sort, of.level).map(|note| Event::Note { task, note }))
             })?,
             Arrival::ClosedAttempt(of) => self.attempt(of, |task, of| {
                 Ok(Some(Event::Outcome {
