--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -96,10 +96,10 @@
         while !self.over.get() {
             let now = clock::now();
             let due = self.door.borrow().next_wake() - now;
-            if due > 0.0 {
-                if let Some(permit) = clock::within(due, self.wake.acquire()).await {
-                    permit.forget();
-                }
+            if due > 0.0
+                && let Some(permit) = clock::within(due, self.wake.acquire()).await
+            {
+                permit.forget();
             }
             let now = clock::now();
             if now >= self.door.borrow().next_wake() {
