An error that a task meets at a second machine too counts against neither

Checked: counters showed 160 errors of machines in 20 s at one scheduler, no late and no broken offers, so neither sockets nor machines were slow; held requests were all of the class of the bad clients' set-ups. Ruled out: descriptors (275 of 384), CPU (0.04 s in the worst second). Fault: policy's outcome(), where every error struck its machine for the class, so ids that no machine knows barred all. Change: an error at a second machine acquits the first; both are the task's own. Test: rules.rs, fails without it.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -88,6 +88,8 @@
     machine: MachineId,
     /// First attempt that may have run: when it was sent and where.
     may_run: Option<(Seconds, MachineId)>,
+    failed_at: Option<MachineId>, // The machine that first returned an error,
+    own_error: bool,              // and whether another did too.
     warm: bool,
 }
 
@@ -131,6 +133,14 @@
         *strikes = (*strikes + 1).min(STRIKES_MOST);
     }
 
+    /// What struck it last was not its fault.
+    fn acquit(&mut self, whose: Option<(usize, usize)>) {
+        if let Some(trouble) = self.troubles.get_mut(&whose) {
+            *trouble = (trouble.0 - 1, 0.0);
+        }
+        self.troubles.retain(|_, trouble| trouble.0 > 0);
+    }
+
     /// An answer to this class and tenant takes back half of what stands against them.
     fn relieve(&mut self, whose: (usize, usize)) {
         for (_, trouble) in self.troubles.iter_mut().filter(|(struck, _)| struck.is_none_or(|s| s == whose)) {
@@ -446,6 +456,7 @@
     fn outcome(&mut self, now: Seconds, id: TaskId, attempt: u32, ending: Ending, closed: bool) {
         let Some(job) = self.jobs.get(&id).filter(|job| attempt + 1 == job.sends) else { return };
         let (was, to, sent_at) = (job.state, job.machine, job.sent_at);
+        let (failed_at, own_error) = (job.failed_at, job.own_error);
         let whose = Some((job.task.class, job.task.tenant));
         // Evidence must outlast the time to the next visit of the same machine.
         let aside = (self.machines.len() as f64 / self.rate.0.max(1e-3)).clamp(ASIDE, ASIDE_MOST);
@@ -461,8 +472,15 @@
             }
             Ending::Full(_) => machine.strike(now, whose, FULL_FOR, FULL_MOST),
             Ending::Broken(Why::Evicted | Why::PushedOut) => machine.strike(now, None, FULL_FOR, FULL_FOR),
+            // An error at a second machine is the task's own and counts against neither. Guards against owners
+            // of tasks that no machine can start. Harm: where most machines fail, some are found later.
+            Ending::Failed if own_error => {}
+            Ending::Failed if failed_at.is_some_and(|first| first != to) => {
+                let first = failed_at.and_then(|first| self.machines.get_mut(&first));
+                first.into_iter().for_each(|first| first.acquit(whose));
+            }
             // Failures before the confirmation: errors, silence, answers lost. Only this class of this tenant
-            // is known to be struck. Harm: an error of the task itself counts against its machine.
+            // is known to be struck. Harm: the task's own first error counts against its machine for a while.
             Ending::Failed | Ending::Late => machine.strike(now, whose, aside, ASIDE_MOST),
             Ending::Broken(_) if was == State::Out => machine.strike(now, whose, aside, ASIDE_MOST),
             // It has died or is cut off: the list tells late, so it counts as cold once it answers again.
@@ -480,6 +498,9 @@
         if matches!(ending, Ending::Failed | Ending::Late | Ending::Broken(_) | Ending::Cancelled) {
             job.may_run.get_or_insert((sent_at, to));
         }
+        if ending == Ending::Failed {
+            job.own_error |= *job.failed_at.get_or_insert(to) != to;
+        }
         job.state = State::Held;
         self.fresh.push(id);
     }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -262,3 +262,24 @@
     let sent = sends(&w.step(now + 1.1, (901..904).map(|i| Event::Submit(same(i))).collect()));
     assert!(sent.iter().all(|s| s.1 == MachineId(3)), "{sent:?}");
 }
+
+#[test]
+fn an_error_of_the_tasks_own_counts_against_no_machine() {
+    // Owners whose tasks no machine can start: each is answered by errors, wherever it is sent.
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    let mut now = 1.0;
+    w.step(now, vec![fleet(4)]);
+    for id in 1..=20 {
+        now += 0.01;
+        let mut actions = w.step(now, vec![Event::Submit(task(id, 0, now + 6.0))]);
+        let mut attempt = 0;
+        while !sends(&actions).is_empty() {
+            now += 0.01;
+            actions = w.step(now, vec![outcome(id, attempt, Ending::Failed)]);
+            attempt += 1;
+        }
+    }
+    // A good one finds machines at once, well before what errors bar for a second at the least is over.
+    let good = w.step(now + 0.01, vec![Event::Submit(task(99, 0, now + 6.0))]);
+    assert_eq!(sends(&good).len(), 1, "{good:?}");
+}
