--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -472,7 +472,7 @@
             }
             Ending::Full(_) => machine.strike(now, whose, FULL_FOR, FULL_MOST),
             Ending::Broken(Why::Evicted | Why::PushedOut) => machine.strike(now, None, FULL_FOR, FULL_FOR),
-            // An error at a second machine is the task's own and counts against neither. Guards against owners
+            // An error at a second machine is the task's own and strikes neither. Guards against owners
             // of tasks that no machine can start. Harm: where most machines fail, some are found later.
             Ending::Failed if own_error => {}
             Ending::Failed if failed_at.is_some_and(|first| first != to) => {
