--- /dev/null
+++ b/crates/platform/tests/common/mod.rs
@@ -0,0 +1,192 @@
+//! A door with owners and machines played by hand. No sockets.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::{IpAddr, Ipv4Addr};
+use tidespur_platform::lines::LineAction;
+use tidespur_platform::message::{Decoder, Id, Kind, Message, code};
+use tidespur_platform::{ClientId, Door, Input, Limits, LineId, Output, board};
+use tidespur_settings::{Info, Site};
+
+pub const OWNER: ClientId = ClientId(1);
+pub const OTHER: ClientId = ClientId(2);
+
+/// Settings with a class that may run twice and one that must not.
+pub const INFO: &str = r#"{"balancers":1,"ordinal":0,"locality":0,"discovery":"ask","odd":[1],
+ "services":[{"name":"web","aimS":0.7,"deadlineS":6,"effect":"safe","group":"all","credit":1,"windowS":5},
+  {"name":"slot","aimS":4,"deadlineS":8,"effect":"unsafe","group":"all","credit":3,"windowS":5}],
+ "kinds":["std"],"zones":["east","west"],
+ "familyInfo":{"acceptsMemory":1.5,"ack":"accepted","admitCores":2.5,"apartBy":["none","none"],
+  "classCalm":[1,1],"coldBears":8,"kindByClass":[-1,-1],"kindCores":[32],"lostAfter":[1,1],"memOfKind":[64],
+  "priorityByClass":[0,0],"startSeconds":[10,8],"togetherMax":[0,0],"listsFree":true},
+ "limits":{"maxAttempts":4,"connectTimeoutS":0.25,"connIdleS":30},"report":{"via":"answers"},
+ "safety":{"answerSlackS":0.05,"coldFrom":0.2,"coldS":9,"drainGraceS":1,"fallMultiple":3,"overloadForS":1},
+ "tariffs":{}}"#;
+
+pub fn site() -> Site {
+    serde_json::from_str::<Info>(INFO).unwrap().site().unwrap()
+}
+
+pub fn address(last: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, 0, last))
+}
+
+/// An event of the board: machines by number, with state and start in milliseconds.
+pub fn notice(number: u64, whole: bool, machines: &[(u32, &str, u64)]) -> Input {
+    let entry = |&(n, state, started): &(u32, &str, u64)| {
+        format!(
+            r#"{{"instanceId":"s-{n}","hostPort":"127.0.1.{n}:9","zone":"east","machineType":"std","cell":0,
+            "lifecycle":"{state}","weight":1,"startedAtMs":{started},"left_over":[30,60]}}"#
+        )
+    };
+    let entries: Vec<String> = machines.iter().map(entry).collect();
+    let entries = entries.join(",");
+    let text =
+        format!(r#"{{"rev":{number},"pool":{{"generation":{number},"reset":{whole},"instances":[{entries}]}}}}"#);
+    Input::Noticed(board::notice(&site(), &text).unwrap())
+}
+
+pub fn set_up(id: u64, class: &str) -> Message {
+    Message::new(Kind::SetUp, Id(id))
+        .with(code::CLASS, class.as_bytes())
+        .with(code::WAIT, b"6000")
+        .with(code::NAME, format!("{id:016x}").as_bytes())
+        .with(code::HINT, b"8200.0")
+        .with(code::ASKS, b"cores:1;memory:2;service:00000000b4d65521")
+        .with(code::DESCRIPTION, b"v=0 \x00\xff")
+}
+
+pub fn handed(id: u64, machine: &str) -> Message {
+    let asks = format!("cores:1;memory:2;service:00000000b4d65521;at:{machine}");
+    Message::new(Kind::SetUp, Id(id))
+        .with(code::CLASS, b"web")
+        .with(code::NAME, format!("{id:016x}").as_bytes())
+        .with(code::ASKS, asks.as_bytes())
+}
+
+pub fn answer(id: u64) -> Message {
+    Message::new(Kind::Answer, Id(id)).with(code::DESCRIPTION, b"machine's \x01 own")
+}
+
+pub fn release(id: u64, cause: u8) -> Message {
+    Message::release(Id(id), cause)
+}
+
+/// A door, and what it wants done.
+pub struct Played {
+    pub door: Door,
+    pub now: f64,
+    pub out: Vec<Output>,
+}
+
+impl Played {
+    /// With machines 1 to `machines`, and the two clients connected.
+    pub fn new(machines: u32) -> Self {
+        let limits = Limits { clients: 8, lines: 16 };
+        let door = Door::new(site(), limits, 7).unwrap();
+        let mut played = Self { door, now: 1000.0, out: Vec::new() };
+        let list: Vec<(u32, &str, u64)> = (1..=machines).map(|n| (n, "Ready", 0)).collect();
+        played.step(notice(1, true, &list));
+        played.step(Input::ClientOpened(OWNER, address(1)));
+        played.step(Input::ClientOpened(OTHER, address(2)));
+        played
+    }
+
+    /// One input; what it leads to stands in `out` alone.
+    pub fn step(&mut self, input: Input) -> &[Output] {
+        self.out.clear();
+        self.door.step(self.now, [input], &mut self.out);
+        &self.out
+    }
+
+    /// Time goes on by steps as short as the door asks for; all that is wanted meanwhile stands in `out`.
+    /// Machines can't be reached, where `refused` says so because nobody listens.
+    pub fn wait(&mut self, seconds: f64, refused: Option<bool>) {
+        let until = self.now + seconds;
+        let mut all = Vec::new();
+        while self.now < until {
+            self.now = self.door.next_wake().clamp(self.now + 0.001, until);
+            self.step(Input::Tick);
+            let dials: Vec<LineId> = self.dials().iter().map(|dial| dial.0).collect();
+            all.append(&mut self.out);
+            for line in dials.into_iter().filter(|_| refused == Some(true)) {
+                self.step(Input::LineRefused(line));
+                all.append(&mut self.out);
+            }
+        }
+        self.out = all;
+    }
+
+    pub fn client_says(&mut self, client: ClientId, message: Message) -> &[Output] {
+        self.step(Input::ClientSaid(client, message))
+    }
+
+    pub fn machine_says(&mut self, line: LineId, message: Message) -> &[Output] {
+        self.step(Input::LineSaid(line, message))
+    }
+
+    /// Connections that are to be dialled: which, and where to.
+    pub fn dials(&self) -> Vec<(LineId, String)> {
+        let dial = |output: &Output| match output {
+            Output::Line(LineAction::Dial(line, address)) => Some((*line, address.clone())),
+            _ => None,
+        };
+        self.out.iter().filter_map(dial).collect()
+    }
+
+    /// Messages to a client.
+    pub fn told(&self, client: ClientId) -> Vec<Message> {
+        let told = |output: &Output| match output {
+            Output::Client(to, bytes) if *to == client => Some(read(bytes)),
+            _ => None,
+        };
+        self.out.iter().filter_map(told).flatten().collect()
+    }
+
+    /// Messages to machines.
+    pub fn written(&self) -> Vec<(LineId, Message)> {
+        let written = |output: &Output| match output {
+            Output::Line(LineAction::Write(line, bytes)) => Some((*line, bytes.clone())),
+            _ => None,
+        };
+        let all = self.out.iter().filter_map(written);
+        all.flat_map(|(line, bytes)| read(&bytes).into_iter().map(move |m| (line, m))).collect()
+    }
+
+    pub fn closed_lines(&self) -> Vec<LineId> {
+        let closed = |output: &Output| match output {
+            Output::Line(LineAction::Close(line)) => Some(*line),
+            _ => None,
+        };
+        self.out.iter().filter_map(closed).collect()
+    }
+
+    pub fn closed_clients(&self) -> Vec<ClientId> {
+        let closed = |output: &Output| match output {
+            Output::CloseClient(client) => Some(*client),
+            _ => None,
+        };
+        self.out.iter().filter_map(closed).collect()
+    }
+
+    /// A set-up is taken, and its offer is written on a new connection: that one and the machine's address.
+    pub fn offered(&mut self, message: Message) -> (LineId, String) {
+        self.client_says(OWNER, message);
+        let (line, address) = self.dials().pop().expect("a dial");
+        self.step(Input::LineOpened(line));
+        (line, address)
+    }
+
+    /// A task that stands, on the connection of its offer.
+    pub fn standing(&mut self, id: u64, class: &str) -> (LineId, String) {
+        let (line, address) = self.offered(set_up(id, class));
+        self.machine_says(line, answer(id));
+        assert_eq!(self.told(OWNER)[0].kind, Kind::Answer);
+        (line, address)
+    }
+}
+
+pub fn read(bytes: &[u8]) -> Vec<Message> {
+    let mut decoder = Decoder::default();
+    decoder.feed(bytes);
+    std::iter::from_fn(|| decoder.message().expect("our own bytes are messages")).collect()
+}
