Ends of standing tasks reach their owners: Heard is no offence, connections are finished

Checked: a log of every message. 1,664 of the owners' messages were Heard, one for each release; door.rs counted each as useless, and only set-ups took that back, so once they stopped all connections of owners were closed after 32 of them and no way was left. Ruled out: the machines' releases (they came), the loops (they ran on). Change: Heard counts against the releases that were sent on the connection; what is useless is forgiven by time. Idle connections to machines were closed while an end could be on its way, and of two idle ones both at once (lines.rs, tick). They are finished now: written no more, read until the machine ends them. Also: accepting yields; the board's follower by moves, not addresses; machines that have gone are forgotten, in the door and, above 100 of them, in the policy; trace lines for all messages, debug lines for connections.

--- a/crates/platform-net/src/board.rs
+++ b/crates/platform-net/src/board.rs
@@ -1,7 +1,7 @@
 //! Follows the notice board: connected always, and at once again after an end.
 
 use async_io::Timer;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tidespur_net::{Client, clock};
@@ -14,28 +14,40 @@
 /// Pause after a connection that brought nothing.
 const AGAIN: Duration = Duration::from_millis(100);
 
-/// The board's address, and how often it was changed.
+/// Where the board listens now.
 #[derive(Debug)]
 pub struct Address {
-    /// Where it listens.
-    pub at: RefCell<String>,
+    at: RefCell<String>,
+    moves: Cell<u32>,
 }
 
-/// Follows the board at one address until `current` says that it was left for another and it has ended.
-pub async fn follow(
-    address: String,
-    current: Rc<Address>,
-    noticed: impl Fn() -> u64,
-    mut take: impl FnMut(&str),
-) {
+impl Address {
+    /// At this address.
+    pub fn new(at: String) -> Self {
+        Self { at: RefCell::new(at), moves: Cell::new(0) }
+    }
+
+    /// It listens elsewhere from now on; `false` where it was there already.
+    pub fn moves_to(&self, at: &str) -> bool {
+        if *self.at.borrow() == at {
+            return false;
+        }
+        self.at.replace(at.to_owned());
+        self.moves.set(self.moves.get() + 1);
+        true
+    }
+}
+
+/// Follows the board where it listens now. Once it has moved, what is left of the old stream is still read.
+pub async fn follow(current: Rc<Address>, noticed: impl Fn() -> u64, mut take: impl FnMut(&str)) {
+    let (address, moves) = (current.at.borrow().clone(), current.moves.get());
     loop {
         let began = clock::now();
         let why = once(&address, noticed(), &mut take).await;
-        if *current.at.borrow() != address {
-            tracing::info!(board = address, why, "the old notice board ended");
+        tracing::info!(board = address, why, "the notice board ended");
+        if current.moves.get() != moves {
             return;
         }
-        tracing::info!(board = address, why, "the notice board ended");
         if clock::now() - began < 0.5 {
             Timer::after(AGAIN).await;
         }
--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -71,7 +71,7 @@
             buffer: RefCell::new(vec![0; TURN]),
             next_client: Cell::new(0),
             wake: async_lock::Semaphore::new(0),
-            board: Rc::new(Address { at: RefCell::new(config.board.clone()) }),
+            board: Rc::new(Address::new(config.board.clone())),
             site: config.site,
             name: config.name,
             over: Cell::new(false),
@@ -82,7 +82,7 @@
         tracing::info!(scheduler = this.name, %address, sockets = config.sockets, "started");
         this.spawn(this.clone().listen(listener));
         this.spawn(this.clone().signals(signals));
-        this.follow(config.board);
+        this.follow();
         Ok(this)
     }
 
@@ -125,11 +125,25 @@
         while !inputs.is_empty() {
             let mut out = Vec::new();
             let before = self.door.borrow().next_wake();
+            for input in &inputs {
+                match input {
+                    Input::ClientSaid(..) | Input::LineSaid(..) => tracing::trace!(?input),
+                    Input::Tick => {}
+                    _ => tracing::debug!(scheduler = self.name, ?input),
+                }
+            }
             self.door.borrow_mut().step(clock::now(), std::mem::take(&mut inputs), &mut out);
             if self.door.borrow().next_wake() < before {
                 self.wake.add_permits(1);
             }
             for output in out {
+                match &output {
+                    Output::CloseClient(_)
+                    | Output::Line(LineAction::Dial(..) | LineAction::Finish(_) | LineAction::Close(_)) => {
+                        tracing::debug!(scheduler = self.name, ?output);
+                    }
+                    _ => tracing::trace!(?output),
+                }
                 inputs.extend(self.carry_out(output));
             }
         }
@@ -173,6 +187,11 @@
                     }),
                 }
             }
+            Output::Line(LineAction::Finish(line)) => {
+                let socket = self.lines.borrow().get(&line).cloned().flatten()?;
+                socket.finish();
+                None
+            }
             Output::Line(LineAction::Close(line)) => {
                 self.line_over(line);
                 None
@@ -211,6 +230,9 @@
                     self.clients.borrow_mut().insert(client, socket.clone());
                     self.step(vec![Input::ClientOpened(client, from.ip())]);
                     self.spawn(self.clone().serve(client, socket));
+                    // A flood of connections is accepted at once, one after the other: those closed for it, and
+                    // all others, must have their turn in between.
+                    futures_lite::future::yield_now().await;
                 }
                 Err(problem) => {
                     tracing::warn!(scheduler = self.name, %problem, "accept");
@@ -295,14 +317,14 @@
         }
     }
 
-    fn follow(self: &Rc<Self>, address: String) {
+    fn follow(self: &Rc<Self>) {
         let (this, that) = (self.clone(), self.clone());
         let noticed = move || this.door.borrow().noticed();
         let take = move |data: &str| match tidespur_platform::board::notice(&that.site, data) {
             Ok(notice) => that.step(vec![Input::Noticed(notice)]),
             Err(problem) => tracing::warn!(scheduler = that.name, problem),
         };
-        self.spawn(board::follow(address, self.board.clone(), noticed, take));
+        self.spawn(board::follow(self.board.clone(), noticed, take));
     }
 
     async fn signals(self: Rc<Self>, mut signals: Signals) {
@@ -331,10 +353,9 @@
                 .and_then(|text| config::read(&text));
             match read {
                 Ok(config) => {
-                    if *self.board.at.borrow() != config.board {
+                    if self.board.moves_to(&config.board) {
                         tracing::info!(scheduler = self.name, board = config.board, "another notice board");
-                        self.board.at.replace(config.board.clone());
-                        self.follow(config.board);
+                        self.follow();
                     }
                     return;
                 }
--- a/crates/platform-net/src/socket.rs
+++ b/crates/platform-net/src/socket.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Writes no more, and is still read.
+    pub fn finish(&self) {
+        let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
+    }
+
     /// Ends the connection in both directions, for its reader too.
     pub fn close(&self) {
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Both);
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -7,8 +7,11 @@
 
 /// One that has said nothing of use for this long is closed. The platform allows 3 s.
 const SILENT_FOR: Seconds = 2.0;
-/// So many messages of no use in a row, and it is closed.
-const USELESS_MOST: u32 = 32;
+/// So many messages of no use, beyond those that are forgiven each second, and it is closed.
+const USELESS_MOST: f64 = 32.0;
+const FORGIVEN: f64 = 10.0;
+/// A test, or a message that means nothing, counts as this much of one of no use.
+const FREE: f64 = 0.1;
 
 #[derive(Debug)]
 struct Client {
@@ -20,7 +23,10 @@
     /// Set-ups without an answer, and tasks of its that stand.
     open: usize,
     standing: usize,
-    useless: u32,
+    /// Messages of no use that are not forgiven yet, and when that was counted.
+    useless: (f64, Seconds),
+    /// Releases that it was sent and has not said it heard.
+    unheard: u32,
 }
 
 /// All connections that came in.
@@ -49,8 +55,16 @@
     /// One comes in. Tells which is closed for it where there is no room: the oldest of those that never sent
     /// anything of use, else the one idle longest, else itself.
     pub fn opened(&mut self, now: Seconds, id: ClientId, from: IpAddr) -> Option<ClientId> {
-        let made =
-            Client { from, opened_at: now, used_at: now, proved: false, open: 0, standing: 0, useless: 0 };
+        let made = Client {
+            from,
+            opened_at: now,
+            used_at: now,
+            proved: false,
+            open: 0,
+            standing: 0,
+            useless: (0.0, now),
+            unheard: 0,
+        };
         self.clients.insert(id, made);
         if self.clients.len() <= self.most {
             return None;
@@ -71,18 +85,46 @@
     /// It sent a set-up that can be used.
     pub fn proves(&mut self, now: Seconds, id: ClientId) {
         if let Some(client) = self.clients.get_mut(&id) {
-            (client.proved, client.useless, client.used_at) = (true, 0, now);
+            (client.proved, client.used_at) = (true, now);
         }
     }
 
     /// It sent something of no use; `true`: too often.
-    pub fn useless(&mut self, id: ClientId) -> bool {
+    pub fn useless(&mut self, now: Seconds, id: ClientId) -> bool {
+        self.counts_against(now, id, 1.0)
+    }
+
+    /// It sent something that is free; `true`: far too often.
+    pub fn free(&mut self, now: Seconds, id: ClientId) -> bool {
+        self.counts_against(now, id, FREE)
+    }
+
+    fn counts_against(&mut self, now: Seconds, id: ClientId, much: f64) -> bool {
         self.clients.get_mut(&id).is_some_and(|client| {
-            client.useless += 1;
-            client.useless > USELESS_MOST
+            let (useless, at) = client.useless;
+            client.useless = ((useless - FORGIVEN * (now - at)).max(0.0) + much, now);
+            client.useless.0 > USELESS_MOST
         })
     }
 
+    /// It is sent a release, and may say that it heard it.
+    pub fn released(&mut self, id: ClientId) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.unheard = client.unheard.saturating_add(1);
+        }
+    }
+
+    /// It says that it heard a release; `true`: none was sent, and that too often.
+    pub fn heard(&mut self, now: Seconds, id: ClientId) -> bool {
+        match self.clients.get_mut(&id).filter(|client| client.unheard > 0) {
+            Some(client) => {
+                client.unheard -= 1;
+                false
+            }
+            None => self.useless(now, id),
+        }
+    }
+
     /// Its set-ups without an answer.
     pub fn open(&self, id: ClientId) -> usize {
         self.clients.get(&id).map_or(0, |client| client.open)
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -233,6 +233,10 @@
             self.counts.closed += 1;
             out.push(Output::CloseClient(client));
         }
+        // Machines come and go without end: what is kept of one goes with its last connection.
+        let lines = &self.lines;
+        self.names.retain(|machine, _| lines.knows(*machine));
+        self.started.retain(|machine, _| lines.knows(*machine));
         self.pay(out);
         self.leave(now, out);
     }
@@ -279,13 +283,12 @@
 
     fn client_said(&mut self, now: Seconds, client: ClientId, message: Message, out: &mut Vec<Output>) {
         let id = message.id;
-        let useless = match message.kind {
+        let too_often = match message.kind {
             Kind::SetUp => return self.set_up(now, client, message, out),
             Kind::Test => {
                 let tested = Message::new(Kind::Tested, id).with(code::CAUSE, &[1]);
                 out.push(Output::Client(client, tested.bytes()));
-                // One that only tests is of some use, but not without end.
-                true
+                self.clients.free(now, client)
             }
             Kind::Release => match self.desk.get(id).map(|request| request.stage) {
                 Some(Stage::Open { client: by, .. }) if by == client => {
@@ -295,7 +298,7 @@
                     false
                 }
                 // Another's set-up that waits is not touched.
-                Some(Stage::Open { .. }) => true,
+                Some(Stage::Open { .. }) => self.clients.useless(now, client),
                 Some(Stage::Standing { machine, attempt, .. }) => {
                     let mut acts = Vec::new();
                     self.lines.tell(now, machine, Message::release(id, cause::ENDED).bytes(), &mut acts);
@@ -304,12 +307,13 @@
                     self.end(now, id, attempt, Ending::Cancelled, None);
                     false
                 }
-                None => true,
+                None => self.clients.useless(now, client),
             },
-            Kind::Heard | Kind::Progress => true,
-            Kind::Answer | Kind::Tested | Kind::Note | Kind::Move => true,
+            Kind::Heard => self.clients.heard(now, client),
+            Kind::Progress => self.clients.free(now, client),
+            Kind::Answer | Kind::Tested | Kind::Note | Kind::Move => self.clients.useless(now, client),
         };
-        if useless && self.clients.useless(client) {
+        if too_often {
             self.counts.useless += 1;
             self.close_client(now, client, out);
         }
@@ -380,7 +384,7 @@
             out.push(Output::Log(format!("request {id} can't be used: {problem}")));
         }
         out.push(Output::Client(client, Message::release(id, cause::CONTENT).bytes()));
-        if self.clients.useless(client) {
+        if self.clients.useless(now, client) {
             self.close_client(now, client, out);
         }
     }
@@ -389,7 +393,10 @@
     fn reply(&mut self, id: Id, bytes: Vec<u8>, out: &mut Vec<Output>) {
         let Some(request) = self.desk.get(id) else { return };
         match self.clients.way(request.client, request.from) {
-            Some(client) => out.push(Output::Client(client, bytes)),
+            Some(client) => {
+                self.clients.released(client);
+                out.push(Output::Client(client, bytes));
+            }
             None => {
                 if self.owed.len() >= OWED_MOST {
                     self.owed.pop_front();
@@ -404,6 +411,7 @@
         while let Some((from, _)) = self.owed.front() {
             let Some(client) = self.clients.way(None, *from) else { return };
             let Some((_, bytes)) = self.owed.pop_front() else { return };
+            self.clients.released(client);
             out.push(Output::Client(client, bytes));
         }
     }
@@ -418,7 +426,7 @@
         self.events.push(Event::Dropped(task));
         if let Some(attempt) = attempt {
             let mut acts = Vec::new();
-            self.lines.give_up(attempt.line, id, false, &mut acts);
+            self.lines.give_up(now, attempt.line, id, false, &mut acts);
             out.extend(acts.into_iter().map(Output::Line));
             let outcome = (task, attempt.number, Ending::Cancelled, true, None);
             self.events.push(event(outcome));
@@ -431,7 +439,7 @@
             return;
         };
         let mut acts = Vec::new();
-        self.lines.give_up(attempt.line, id, true, &mut acts);
+        self.lines.give_up(now, attempt.line, id, true, &mut acts);
         out.extend(acts.into_iter().map(Output::Line));
         self.attempt_ended(now, id, ending, None);
     }
@@ -585,6 +593,9 @@
         self.noticed = notice.number;
         let mut news = Vec::new();
         let mut entries = Vec::new();
+        if notice.whole {
+            self.lines.only(&notice.listed.iter().map(|listed| listed.entry.machine).collect());
+        }
         for listed in notice.listed {
             let (machine, gone) =
                 (listed.entry.machine, listed.entry.standing == tidespur_policy::interface::Standing::Gone);
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -6,7 +6,7 @@
 
 use crate::LineId;
 use crate::message::{Id, Kind, Message, cause, code};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tidespur_policy::interface::{MachineId, Seconds};
 
 /// A connection on which nothing was heard for this long carries no new set-up: a new one is dialled, and if it
@@ -22,8 +22,11 @@
 const LOST_AFTER: Seconds = 5.0;
 /// Pause between dials that fail.
 const REDIAL: Seconds = 0.25;
-/// An idle connection that is not needed is closed after this.
-const IDLE: Seconds = 3.0;
+/// An idle connection that is not needed is finished after this.
+const IDLE: Seconds = 10.0;
+/// A machine has so long to end a connection that was finished here. What it wrote before it heard of that, such
+/// as the end of a task, is still read; a plain close would lose it.
+const FINISH_WITHIN: Seconds = 2.0;
 /// Messages that wait for the next connection to a machine.
 const QUEUE_MOST: usize = 1_000;
 
@@ -34,6 +37,8 @@
     Dial(LineId, String),
     /// Write these bytes.
     Write(LineId, Vec<u8>),
+    /// Write no more, and go on reading until the machine ends it too; `Ended` answers.
+    Finish(LineId),
     /// Close, also while it is being dialled. Nothing answers.
     Close(LineId),
 }
@@ -88,6 +93,8 @@
 pub struct Lines {
     peers: BTreeMap<MachineId, Peer>,
     lines: BTreeMap<LineId, Line>,
+    /// Finished, and not ended by the machine yet: whose, and since when.
+    finishing: BTreeMap<LineId, (MachineId, Seconds)>,
     next: u64,
     /// Connections that may be there at once.
     most: usize,
@@ -97,17 +104,29 @@
 impl Lines {
     /// No connections yet; at most `most` at once, each made within `connect_within`.
     pub fn new(most: usize, connect_within: Seconds) -> Self {
-        Self { peers: BTreeMap::new(), lines: BTreeMap::new(), next: 0, most: most.max(2), connect_within }
+        let (peers, lines, finishing) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Self { peers, lines, finishing, next: 0, most: most.max(2), connect_within }
     }
 
     /// The machine at the other end.
     pub fn machine(&self, line: LineId) -> Option<MachineId> {
-        self.lines.get(&line).map(|line| line.machine)
+        let finishing = self.finishing.get(&line).map(|(machine, _)| *machine);
+        self.lines.get(&line).map(|line| line.machine).or(finishing)
     }
 
     /// Connections there are.
     pub fn count(&self) -> usize {
-        self.lines.len()
+        self.lines.len() + self.finishing.len()
+    }
+
+    /// Ends a connection that is not needed any more, without losing what is on its way here.
+    fn finish(&mut self, now: Seconds, id: LineId, out: &mut Vec<LineAction>) {
+        let Some(line) = self.lines.remove(&id) else { return };
+        if line.dialled.is_some() {
+            return out.push(LineAction::Close(id));
+        }
+        self.finishing.insert(id, (line.machine, now));
+        out.push(LineAction::Finish(id));
     }
 
     /// Machines that are known.
@@ -115,6 +134,11 @@
         self.peers.len()
     }
 
+    /// Whether a machine is listed, or something of it is still here.
+    pub fn knows(&self, machine: MachineId) -> bool {
+        self.peers.contains_key(&machine)
+    }
+
     /// The list tells of a machine. One at whose address another listens now is no more.
     pub fn listed(
         &mut self,
@@ -143,6 +167,13 @@
         peer.gone = gone;
     }
 
+    /// The whole list was told: who is not in it has gone.
+    pub fn only(&mut self, listed: &BTreeSet<MachineId>) {
+        for (machine, peer) in &mut self.peers {
+            peer.gone |= !listed.contains(machine);
+        }
+    }
+
     /// Tasks of ours that stand at a machine came or went.
     pub fn hold(&mut self, now: Seconds, machine: MachineId, more: bool) {
         let Some(peer) = self.peers.get_mut(&machine) else { return };
@@ -158,9 +189,11 @@
 
     fn dial(&mut self, now: Seconds, machine: MachineId, out: &mut Vec<LineAction>) -> Option<LineId> {
         let address = self.peers.get(&machine).map(|peer| peer.address.clone()).filter(|a| !a.is_empty())?;
-        if self.lines.len() >= self.most {
-            let spare = self.lines.iter().filter(|(id, line)| line.idle() && !self.needed(**id, line));
-            let (&spare, _) = spare.min_by(|a, b| a.1.used_at.total_cmp(&b.1.used_at))?;
+        if self.count() >= self.most {
+            let idle = self.lines.iter().filter(|(id, line)| line.idle() && !self.needed(**id, line));
+            let idle = idle.min_by(|a, b| a.1.used_at.total_cmp(&b.1.used_at)).map(|(&id, _)| id);
+            let spare = self.finishing.first_key_value().map(|(&id, _)| id).or(idle)?;
+            self.finishing.remove(&spare);
             self.lines.remove(&spare);
             out.push(LineAction::Close(spare));
         }
@@ -253,15 +286,14 @@
 
     /// Gives a set-up up. With `suspect`, nothing was heard in time: the connection is used no more, and closed
     /// unless others are open on it.
-    pub fn give_up(&mut self, line: LineId, id: Id, suspect: bool, out: &mut Vec<LineAction>) {
+    pub fn give_up(&mut self, now: Seconds, line: LineId, id: Id, suspect: bool, out: &mut Vec<LineAction>) {
         let Some(at) = self.lines.get_mut(&line) else { return };
         at.offers.retain(|&offer| offer != id);
         if at.dialled.is_none() {
             out.push(LineAction::Write(line, Message::release(id, cause::NORMAL).bytes()));
         }
         if at.offers.is_empty() && (suspect || at.dialled.is_some()) {
-            self.lines.remove(&line);
-            out.push(LineAction::Close(line));
+            self.finish(now, line, out);
         }
     }
 
@@ -292,6 +324,7 @@
     /// A connection ended, or could not be made; `refused`: nobody listens there. `unwritten`: what was written
     /// last did not leave.
     pub fn ended(&mut self, now: Seconds, id: LineId, refused: bool, unwritten: bool, news: &mut Vec<News>) {
+        self.finishing.remove(&id);
         let Some(mut line) = self.lines.remove(&id) else { return };
         let dialling = line.dialled.is_some();
         if unwritten && let Some(last) = line.offers.pop() {
@@ -317,7 +350,7 @@
 
     /// A connection brought what can't be read: it is of no further use.
     pub fn spoilt(&mut self, now: Seconds, id: LineId, out: &mut Vec<LineAction>, news: &mut Vec<News>) {
-        if self.lines.contains_key(&id) {
+        if self.lines.contains_key(&id) || self.finishing.contains_key(&id) {
             out.push(LineAction::Close(id));
             self.ended(now, id, false, false, news);
         }
@@ -328,17 +361,22 @@
         let slow =
             self.lines.iter().filter(|(_, l)| l.dialled.is_some_and(|at| now - at > self.connect_within));
         let silent = self.lines.iter().filter(|(_, l)| l.tested_at.is_some_and(|at| now - at > TEST_FOR));
-        let idle = self
-            .lines
-            .iter()
-            .filter(|&(&id, line)| line.idle() && now - line.used_at > IDLE && !self.needed(id, line));
         let over: Vec<LineId> = slow.chain(silent).map(|(&id, _)| id).collect();
-        let idle: Vec<LineId> = idle.map(|(&id, _)| id).collect();
         for id in over {
             self.spoilt(now, id, out, news);
         }
+        let idle = |line: &Line| line.idle() && now - line.used_at > IDLE;
+        let idle: Vec<LineId> = self.lines.iter().filter(|(_, line)| idle(line)).map(|(&id, _)| id).collect();
         for id in idle {
-            self.lines.remove(&id);
+            // One at a time, as of two idle ones to a machine one may be needed.
+            if self.lines.get(&id).is_some_and(|line| !self.needed(id, line)) {
+                self.finish(now, id, out);
+            }
+        }
+        let slow = self.finishing.iter().filter(|(_, (_, at))| now - at > FINISH_WITHIN);
+        let slow: Vec<LineId> = slow.map(|(&id, _)| id).collect();
+        for id in slow {
+            self.finishing.remove(&id);
             out.push(LineAction::Close(id));
         }
         let wanted = |peer: &Peer| peer.holds > 0 || !peer.queue.is_empty();
@@ -347,7 +385,7 @@
         for machine in wanted {
             self.keep(now, machine, out, news);
         }
-        let used: std::collections::BTreeSet<MachineId> = self.lines.values().map(|l| l.machine).collect();
+        let used: BTreeSet<MachineId> = self.lines.values().map(|l| l.machine).collect();
         self.peers.retain(|id, peer| !peer.gone || peer.holds > 0 || used.contains(id));
     }
 
@@ -359,29 +397,28 @@
             news.push(News::Lost(machine));
             return;
         }
-        let (heard_at, redial_at) = (peer.heard_at, peer.redial_at);
-        let usable =
-            |line: &Line| line.machine == machine && line.dialled.is_none() && line.tested_at.is_none();
-        let best = self.lines.iter_mut().filter(|(_, line)| usable(line));
-        match best.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)) {
-            Some((&id, line))
-                if now - line.heard_at > TEST_AFTER
-                    && (line.offers.is_empty() || now - heard_at > TEST_AFTER) =>
-            {
-                line.tested_at = Some(now);
-                let test = Message::new(Kind::Test, Id(0)).with(code::CAUSE, &[0]);
-                out.push(LineAction::Write(id, test.bytes()));
-            }
-            Some(_) => {}
-            None if !dialling && now >= redial_at => {
-                if self.dial(now, machine, out).is_none()
-                    && let Some(peer) = self.peers.get_mut(&machine)
-                {
-                    // No room, or no address: that is not known to be the machine's fault, but it can't be heard.
-                    (peer.fails, peer.redial_at) = (peer.fails + 1, now + REDIAL);
-                }
-            }
-            None => {}
+        let (silent_for, redial_at) = (now - peer.heard_at, peer.redial_at);
+        let mut open: Vec<(&LineId, &mut Line)> = self
+            .lines
+            .iter_mut()
+            .filter(|(_, line)| line.machine == machine && line.dialled.is_none())
+            .collect();
+        open.sort_by(|a, b| b.1.heard_at.total_cmp(&a.1.heard_at));
+        let tested = open.iter().any(|(_, line)| line.tested_at.is_some());
+        let suspect = open.is_empty() || silent_for > TEST_AFTER + TEST_FOR;
+        if let Some((id, line)) = open.first_mut().filter(|_| !tested && silent_for > TEST_AFTER) {
+            line.tested_at = Some(now);
+            let test = Message::new(Kind::Test, Id(0)).with(code::CAUSE, &[0]);
+            out.push(LineAction::Write(**id, test.bytes()));
+        }
+        if suspect
+            && !dialling
+            && now >= redial_at
+            && self.dial(now, machine, out).is_none()
+            && let Some(peer) = self.peers.get_mut(&machine)
+        {
+            // No room, or no address: that need not be the machine's fault, but it can't be heard.
+            (peer.fails, peer.redial_at) = (peer.fails + 1, now + REDIAL);
         }
     }
 }
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -47,7 +47,8 @@
 const HEARD_FOR: Seconds = 30.0; // What others told of a program holds for this long,
 const KEPT_FOR: Seconds = 3.0; // and a machine is trusted to keep one for this long after its last task.
 const GONE: u32 = 1 << 31; // Marks a program whose last task has ended.
-const KNOWN_MOST: usize = 10_000; // With more programs known than this, old ones are forgotten.
+const KNOWN_MOST: usize = 10_000; // With more programs known than this, old ones are forgotten,
+const GONE_MOST: usize = 100; // and machines that have gone with more of them than this.
 
 const ANSWER: Seconds = 0.05; // Usual time to an answer before one was seen.
 const DEVIATIONS: f64 = 5.0; // An offer that takes the mean and this many mean deviations,
@@ -546,6 +547,14 @@
             }
             machine.entry = Some(entry);
         }
+        // Of what has gone, what is known of it is kept for its return, unless too many have gone.
+        let is_gone = |machine: &Machine| {
+            let drains = machine.entry.as_ref().is_some_and(|entry| entry.standing == Standing::Draining);
+            machine.leaving && machine.tasks.is_empty() && !drains
+        };
+        if self.machines.values().filter(|machine| is_gone(machine)).count() > GONE_MOST {
+            self.machines.retain(|_, machine| !is_gone(machine));
+        }
     }
 
     /// Counts a send or a task in place against its machine.
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -283,3 +283,16 @@
     let good = w.step(now + 0.01, vec![Event::Submit(task(99, 0, now + 6.0))]);
     assert_eq!(sends(&good).len(), 1, "{good:?}");
 }
+
+#[test]
+fn machines_that_have_gone_are_forgotten() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    for n in 0..1_000 {
+        let gone = Entry { standing: Standing::Gone, ..entry(n) };
+        w.step(1.0 + n as f64, vec![Event::ListChanges(vec![gone, entry(n + 1)])]);
+    }
+    w.step(2_000.0, vec![Event::Submit(task(1, 0, 1.0))]);
+    w.step(2_001.0, vec![Event::Submit(Task { cores: 1e3, ..task(2, 0, 2_007.0) })]);
+    let waits = w.scheduler.explain(2_001.0, TaskId(2)).expect("no machine takes it");
+    assert!(waits.machines < 200, "{} machines are still known", waits.machines);
+}
