--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -323,6 +323,12 @@
     fn set_up(&mut self, now: Seconds, client: ClientId, message: Message, out: &mut Vec<Output>) {
         let id = message.id;
         let read = ask::read(&self.site, now, &message);
+        if id == Id::default() {
+            // No id at all: an answer to it could be anybody's.
+            self.counts.useless += 1;
+            self.close_client(now, client, out);
+            return;
+        }
         if let Some(known) = self.desk.get(id) {
             let handed = read.as_ref().is_ok_and(|ask| ask.at.is_some());
             if handed && matches!(known.stage, Stage::Standing { .. }) {
