An end is not lost to a failed write, a stranger's connection or an address taken over

Read through for what could lose an end then, and closed: a machine at an address that another was listed with first (lines.rs, listed; shown by a test), a connection dropped unread after a failed write, a release sent to whoever had asked from the same address.

--- /dev/null
+++ b/crates/planner/tests/platform.rs
@@ -0,0 +1,266 @@
+//! The program on loopback, with a machine, a notice board and an owner scripted here.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Nothing here judges by how fast it went; this only ends a test that hangs.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const SETTINGS: &str = r#"{"balancers":1,"ordinal":0,"locality":0,"discovery":"ask",
+ "services":[{"name":"web","aimS":0.7,"deadlineS":6,"effect":"safe","group":"all","credit":1,"windowS":5}],
+ "kinds":["std"],"zones":["east"],
+ "familyInfo":{"acceptsMemory":1.5,"ack":"accepted","admitCores":2.5,"apartBy":["none"],"classCalm":[1],
+  "coldBears":8,"kindByClass":[-1],"kindCores":[32],"lostAfter":[1],"memOfKind":[64],"priorityByClass":[0],
+  "startSeconds":[10],"togetherMax":[0],"listsFree":true},
+ "limits":{"maxAttempts":4,"connectTimeoutS":0.25},"report":{"via":"answers"},
+ "safety":{"answerSlackS":0.05,"coldFrom":0.2,"coldS":9,"drainGraceS":1,"fallMultiple":3,"overloadForS":1},
+ "tariffs":{}}"#;
+
+fn event(number: u64, whole: bool, machine: &str, at: SocketAddr) -> String {
+    format!(
+        r#"{{"rev":{number},"pool":{{"generation":{number},"reset":{whole},"instances":[{{"instanceId":"{machine}","hostPort":"{at}","zone":"east","machineType":"std","cell":0,"lifecycle":"Ready","weight":1,"startedAtMs":0,"left_over":[30,60]}}]}}}}"#
+    )
+}
+
+/// Bytes of a message: type, id, parameters.
+fn message(kind: u8, id: u64, parameters: &[(u8, &[u8])]) -> Vec<u8> {
+    let mut body = vec![kind];
+    body.extend(id.to_be_bytes());
+    for (code, value) in parameters {
+        body.push(*code);
+        body.extend((value.len() as u16).to_be_bytes());
+        body.extend(*value);
+    }
+    let mut all = (body.len() as u16).to_be_bytes().to_vec();
+    all.extend(body);
+    all
+}
+
+fn set_up(id: u64) -> Vec<u8> {
+    let name = format!("{id:016x}");
+    let asks = b"cores:1;memory:2;service:00000000b4d65521";
+    message(1, id, &[(180, b"web"), (183, b"6000"), (192, name.as_bytes()), (195, asks), (225, b"v=0")])
+}
+
+/// The next message that is not a test: type, id, and all of its bytes after that.
+fn next(stream: &mut TcpStream) -> (u8, u64, Vec<u8>) {
+    loop {
+        let mut length = [0; 2];
+        stream.read_exact(&mut length).expect("a message");
+        let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
+        stream.read_exact(&mut body).expect("the rest of a message");
+        let id = u64::from_be_bytes(body[1..9].try_into().unwrap());
+        if body[0] == 52 {
+            stream.write_all(&message(53, id, &[(222, &[1])])).unwrap();
+            continue;
+        }
+        return (body[0], id, body[9..].to_vec());
+    }
+}
+
+fn patient(stream: TcpStream) -> TcpStream {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+fn accept(listener: &TcpListener) -> TcpStream {
+    patient(listener.accept().expect("a connection").0)
+}
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    (listener, at)
+}
+
+/// A connection of the board: the number that was asked from, and where events are written.
+fn board(listener: &TcpListener) -> (u64, TcpStream) {
+    let mut stream = accept(listener);
+    let mut from = 0;
+    for line in BufReader::new(stream.try_clone().unwrap()).lines() {
+        let line = line.unwrap().to_lowercase();
+        if let Some(number) = line.strip_prefix("last-event-id:") {
+            from = number.trim().parse().unwrap();
+        }
+        if line.is_empty() {
+            break;
+        }
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n: here\n\n").unwrap();
+    (from, stream)
+}
+
+fn tell(stream: &mut TcpStream, number: u64, data: &str) {
+    stream.write_all(format!("id: {number}\ndata: {data}\n\n").as_bytes()).unwrap();
+}
+
+struct Scheduler {
+    child: Child,
+    config: PathBuf,
+    at: SocketAddr,
+}
+
+impl Scheduler {
+    fn start(test: &str, board: SocketAddr, known: &str) -> Self {
+        let at = listen().1;
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+        std::fs::create_dir_all(&folder).unwrap();
+        let config = folder.join("config.json");
+        write_config(&config, at, board, known);
+        let child = Command::new(env!("CARGO_BIN_EXE_tidespur-planner"))
+            .arg("platform")
+            .env("RELAY_CONFIG", &config)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { child, config, at }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let began = Instant::now();
+        loop {
+            match TcpStream::connect(self.at) {
+                Ok(stream) => return patient(stream),
+                Err(e) => assert!(began.elapsed() < PATIENCE, "{e}"),
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn write_config(path: &Path, at: SocketAddr, board: SocketAddr, known: &str) {
+    let text = format!(
+        r#"{{"name":"n0","listen":"{at}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":48,"sockets":256}},
+        "board":"{board}","known":{{"rev":1,"notices":[{known}]}},"settings":{SETTINGS}}}"#
+    );
+    std::fs::write(path, text).unwrap();
+}
+
+#[test]
+fn a_task_is_placed_ends_and_both_are_told_to_its_owner() {
+    let (board_at, (machine, machine_at)) = (listen(), listen());
+    let scheduler = Scheduler::start("placed", board_at.1, &event(1, true, "s-1", machine_at));
+    let mut owner = scheduler.connect();
+    owner.write_all(&message(52, 9, &[(222, &[0])])).unwrap();
+    assert_eq!(next(&mut owner), (53, 9, vec![222, 0, 1, 1]));
+    owner.write_all(&set_up(5)).unwrap();
+    let mut offer = accept(&machine);
+    let (kind, id, body) = next(&mut offer);
+    assert_eq!((kind, id), (1, 5));
+    assert!(body.ends_with(b"\xe1\x00\x03v=0"), "the description as it came");
+    offer.write_all(&message(9, 5, &[(225, b"\x00own")])).unwrap();
+    assert_eq!(next(&mut owner), (9, 5, b"\xe1\x00\x04\x00own".to_vec()));
+    offer.write_all(&message(12, 5, &[(222, &[16])])).unwrap();
+    assert_eq!(next(&mut owner), (12, 5, vec![222, 0, 1, 16]));
+    assert_eq!(next(&mut offer).0, 16, "the machine is told that it was heard");
+}
+
+#[test]
+fn an_event_cut_in_half_is_none_and_the_board_is_asked_again_from_the_last_whole_one() {
+    let ((board_in, board_at), (machine, machine_at)) = (listen(), listen());
+    let gone = event(1, true, "s-1", listen().1).replace("Ready", "Terminating");
+    let scheduler = Scheduler::start("cut", board_at, &gone);
+    let mut owner = scheduler.connect();
+    let (from, mut stream) = board(&board_in);
+    assert_eq!(from, 1);
+    let second = event(2, false, "s-2", machine_at);
+    stream.write_all(format!("id: 2\ndata: {}", &second[..second.len() / 2]).as_bytes()).unwrap();
+    drop(stream);
+    let (from, mut stream) = board(&board_in);
+    assert_eq!(from, 1, "the half event was none");
+    tell(&mut stream, 2, &second);
+    owner.write_all(&set_up(5)).unwrap();
+    assert_eq!(next(&mut accept(&machine)).1, 5);
+}
+
+#[test]
+fn another_board_is_followed_after_a_file_that_can_be_read_and_work_goes_on_meanwhile() {
+    let ((old_in, old_at), (new_in, new_at)) = (listen(), listen());
+    let (machine, machine_at) = listen();
+    let first = event(1, true, "s-1", machine_at);
+    let scheduler = Scheduler::start("reload", old_at, &first);
+    let mut owner = scheduler.connect();
+    let (_, _old) = board(&old_in);
+    owner.write_all(&set_up(5)).unwrap();
+    let mut offer = accept(&machine);
+    assert_eq!(next(&mut offer).1, 5);
+    offer.write_all(&message(9, 5, &[(225, b"own")])).unwrap();
+    assert_eq!(next(&mut owner).0, 9);
+    std::fs::write(&scheduler.config, "{\"name\":").unwrap();
+    scheduler.signal("-HUP");
+    std::thread::sleep(Duration::from_millis(150));
+    write_config(&scheduler.config, scheduler.at, new_at, &first);
+    let (from, mut stream) = board(&new_in);
+    assert_eq!(from, 1, "the numbers go on");
+    offer.write_all(&message(12, 5, &[(222, &[16])])).unwrap();
+    assert_eq!(next(&mut owner).1, 5, "what stood is untouched");
+    let (other, other_at) = listen();
+    tell(&mut stream, 2, &event(2, true, "s-2", other_at));
+    // Until the event is taken in, the first machine may be chosen: it refuses for good by closing.
+    drop((machine, offer));
+    owner.write_all(&set_up(6)).unwrap();
+    assert_eq!(next(&mut accept(&other)).1, 6);
+}
+
+#[test]
+fn told_to_end_with_open_work_it_answers_it_and_ends_well() {
+    let ((_board, board_at), (machine, machine_at)) = (listen(), listen());
+    let mut scheduler = Scheduler::start("end", board_at, &event(1, true, "s-1", machine_at));
+    let mut owner = scheduler.connect();
+    owner.write_all(&set_up(5)).unwrap();
+    let mut offer = accept(&machine);
+    assert_eq!(next(&mut offer).1, 5);
+    scheduler.signal("-TERM");
+    owner.write_all(&set_up(6)).unwrap();
+    let mut second = accept(&machine);
+    assert_eq!(next(&mut second).1, 6, "what comes after the word is taken too");
+    for (stream, id) in [(&mut offer, 5), (&mut second, 6)] {
+        stream.write_all(&message(9, id, &[(225, b"own")])).unwrap();
+        assert_eq!((next(&mut owner).0, id), (9, id));
+        stream.write_all(&message(12, id, &[(222, &[16])])).unwrap();
+        assert_eq!(next(&mut owner).0, 12);
+    }
+    assert!(scheduler.child.wait().unwrap().success());
+}
+
+#[test]
+fn floods_and_silence_leave_room_for_an_owner() {
+    let ((_board, board_at), (machine, machine_at)) = (listen(), listen());
+    let scheduler = Scheduler::start("flood", board_at, &event(1, true, "s-1", machine_at));
+    // More than it may have descriptors, some of them saying what can't be read.
+    let mut others = Vec::new();
+    for n in 0..400 {
+        let mut other = scheduler.connect();
+        if n % 4 == 0 {
+            let _ = other.write_all(&[0xff; 64]);
+        }
+        others.push(other);
+    }
+    let mut owner = scheduler.connect();
+    owner.write_all(&set_up(5)).unwrap();
+    let mut offer = accept(&machine);
+    assert_eq!(next(&mut offer).1, 5);
+    offer.write_all(&message(9, 5, &[(225, b"own")])).unwrap();
+    assert_eq!(next(&mut owner).0, 9);
+    // Each of the others is closed in the end.
+    for mut other in others {
+        let mut rest = Vec::new();
+        let _ = other.read_to_end(&mut rest);
+        assert!(rest.is_empty());
+    }
+}
--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -181,10 +181,9 @@
                         }
                         None
                     }
-                    (wrote, _) => self.line_over(line).then_some(match wrote {
-                        Wrote::Nothing => Input::LineUnwritten(line),
-                        _ => Input::LineEnded(line),
-                    }),
+                    // The machine may have written something before it ended the connection: it is read on.
+                    (Wrote::Nothing, _) => Some(Input::LineUnwritten(line)),
+                    (Wrote::Part, _) => self.line_over(line).then_some(Input::LineEnded(line)),
                 }
             }
             Output::Line(LineAction::Finish(line)) => {
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -20,6 +20,8 @@
     used_at: Seconds,
     /// It has sent a set-up that could be used.
     proved: bool,
+    /// A task of its has stood: it is an owner's.
+    owner: bool,
     /// Set-ups without an answer, and tasks of its that stand.
     open: usize,
     standing: usize,
@@ -60,6 +62,7 @@
             opened_at: now,
             used_at: now,
             proved: false,
+            owner: false,
             open: 0,
             standing: 0,
             useless: (0.0, now),
@@ -142,19 +145,21 @@
     pub fn count_standing(&mut self, id: ClientId, more: bool) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.standing = if more { client.standing + 1 } else { client.standing.saturating_sub(1) };
+            client.owner |= more;
         }
     }
 
     /// A connection that leads to the owner that came by `id` from `from`: that one, else one from the same
-    /// address, else any other that proved to be an owner's.
+    /// address, else any other of an owner. A connection of which no task ever stood is not taken: whoever
+    /// asks for what can't be had may come from the same address.
     pub fn way(&self, id: Option<ClientId>, from: Option<IpAddr>) -> Option<ClientId> {
         if let Some(id) = id.filter(|id| self.clients.contains_key(id)) {
             return Some(id);
         }
-        let proved = || self.clients.iter().filter(|(_, client)| client.proved);
-        let near = proved().filter(|(_, client)| Some(client.from) == from);
+        let owners = || self.clients.iter().filter(|(_, client)| client.owner);
+        let near = owners().filter(|(_, client)| Some(client.from) == from);
         let newest = |a: &(&ClientId, &Client), b: &(&ClientId, &Client)| a.1.used_at.total_cmp(&b.1.used_at);
-        near.max_by(newest).or_else(|| proved().max_by(newest)).map(|(&id, _)| id)
+        near.max_by(newest).or_else(|| owners().max_by(newest)).map(|(&id, _)| id)
     }
 
     /// Where a connection came from.
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -139,7 +139,8 @@
         self.peers.contains_key(&machine)
     }
 
-    /// The list tells of a machine. One at whose address another listens now is no more.
+    /// The list tells of a machine. One that has gone and at whose address another listens now is no more, in
+    /// whatever order that is told.
     pub fn listed(
         &mut self,
         now: Seconds,
@@ -148,23 +149,24 @@
         gone: bool,
         news: &mut Vec<News>,
     ) {
-        if !gone {
-            for (&other, peer) in &mut self.peers {
-                if other != machine && peer.address == address && peer.gone {
-                    peer.address.clear();
-                    if peer.holds > 0 {
-                        news.push(News::Lost(other));
-                    }
-                }
-            }
-        }
         let peer = self.peers.entry(machine).or_insert_with(|| Peer { heard_at: now, ..Peer::default() });
-        // One that has gone and was forgotten gets no address back: another may listen there.
+        // One that was forgotten gets no address back: another may listen there.
         let forgotten = gone && peer.address.is_empty();
         if !address.is_empty() && !forgotten {
             peer.address = address.to_owned();
         }
         peer.gone = gone;
+        let taken = |at: &str| self.peers.values().any(|peer| !peer.gone && peer.address == at);
+        let over = self.peers.iter().filter(|(_, peer)| peer.gone && !peer.address.is_empty());
+        let over: Vec<MachineId> = over.filter(|(_, peer)| taken(&peer.address)).map(|(&id, _)| id).collect();
+        for id in over {
+            if let Some(peer) = self.peers.get_mut(&id) {
+                peer.address.clear();
+                if peer.holds > 0 {
+                    news.push(News::Lost(id));
+                }
+            }
+        }
     }
 
     /// The whole list was told: who is not in it has gone.
@@ -322,13 +324,15 @@
     }
 
     /// A connection ended, or could not be made; `refused`: nobody listens there. `unwritten`: what was written
-    /// last did not leave.
+    /// last did not leave; then the connection is read to its end.
     pub fn ended(&mut self, now: Seconds, id: LineId, refused: bool, unwritten: bool, news: &mut Vec<News>) {
         self.finishing.remove(&id);
         let Some(mut line) = self.lines.remove(&id) else { return };
         let dialling = line.dialled.is_some();
-        if unwritten && let Some(last) = line.offers.pop() {
-            news.push(News::Unsent(last));
+        if unwritten {
+            // What the machine wrote before it ended the connection may still be there to read.
+            self.finishing.insert(id, (line.machine, now));
+            news.extend(line.offers.pop().map(News::Unsent));
         }
         news.extend(
             line.offers.into_iter().map(|o| if dialling { News::Unsent(o) } else { News::Broken(o) }),
--- a/crates/platform/tests/door.rs
+++ b/crates/platform/tests/door.rs
@@ -320,6 +320,46 @@
     assert_eq!(p.told(OWNER), [release(5, cause::FAILED)]);
 }
 
+#[test]
+fn an_address_taken_over_is_seen_in_whatever_order_it_is_told() {
+    for new_first in [false, true] {
+        let mut p = Played::new(1);
+        p.standing(5, "web");
+        let entry = |name: &str, state: &str| {
+            format!(
+                r#"{{"instanceId":"{name}","hostPort":"127.0.1.1:9","zone":"east","machineType":"std",
+                "cell":0,"lifecycle":"{state}","startedAtMs":5}}"#
+            )
+        };
+        let (old, new) = (entry("s-1", "Gone"), entry("new", "Ready"));
+        let both = if new_first { [new, old] } else { [old, new] }.join(",");
+        let text = format!(r#"{{"rev":3,"pool":{{"reset":false,"instances":[{both}]}}}}"#);
+        p.step(Input::Noticed(tidespur_platform::board::notice(&site(), &text).unwrap()));
+        assert_eq!(p.told(OWNER), [release(5, cause::FAILED)], "new first: {new_first}");
+    }
+}
+
+#[test]
+fn an_end_that_came_before_a_write_failed_is_not_lost() {
+    let mut p = Played::new(1);
+    let (line, _) = p.standing(5, "web");
+    p.client_says(OWNER, set_up(6, "web"));
+    p.step(Input::LineUnwritten(line));
+    p.machine_says(line, release(5, cause::NORMAL));
+    assert_eq!(p.told(OWNER), [release(5, cause::NORMAL)]);
+}
+
+#[test]
+fn a_release_never_goes_to_one_of_whom_no_task_stood() {
+    let mut p = Played::new(1);
+    let (line, _) = p.standing(5, "web");
+    p.step(Input::ClientClosed(OWNER));
+    p.step(Input::ClientOpened(ClientId(3), address(1)));
+    p.client_says(ClientId(3), set_up(9, "web"));
+    p.machine_says(line, release(5, cause::NORMAL));
+    assert!(p.told(ClientId(3)).is_empty());
+}
+
 #[test]
 fn what_is_handed_over_ends_as_if_it_had_been_placed_here() {
     let mut p = Played::new(1);
