Who names a standing task does not draw its end to himself

Read: door.rs, set_up, where a set-up with at for a held task moved its way to whoever sent it. Change: only where the known connection has gone. Test: door.rs fails without it. That this was the cause is likely, not proved.

--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -332,8 +332,13 @@
         if let Some(known) = self.desk.get(id) {
             let handed = read.as_ref().is_ok_and(|ask| ask.at.is_some());
             if handed && matches!(known.stage, Stage::Standing { .. }) {
-                self.clients.proves(now, client);
-                self.desk.reached_by(id, Some(client), self.clients.from(client));
+                // Whoever names what is held already is believed to be its owner only where the one who is known
+                // has gone: else anybody with an id could draw its end to himself.
+                if !known.client.is_some_and(|client| self.clients.has(client)) {
+                    self.clients.proves(now, client);
+                    self.clients.count_standing(client, true);
+                    self.desk.reached_by(id, Some(client), self.clients.from(client));
+                }
             } else {
                 // Two requests of one number: neither answer could be told from the other.
                 self.counts.useless += 1;
--- a/crates/platform/tests/door.rs
+++ b/crates/platform/tests/door.rs
@@ -320,6 +320,22 @@
     assert_eq!(p.told(OWNER), [release(5, cause::FAILED)]);
 }
 
+#[test]
+fn who_names_a_standing_task_does_not_draw_its_end_to_himself() {
+    let mut p = Played::new(1);
+    let (line, _) = p.standing(5, "web");
+    p.client_says(OTHER, handed(5, "s-1"));
+    p.machine_says(line, release(5, cause::NORMAL));
+    assert_eq!((p.told(OWNER).len(), p.told(OTHER).len()), (1, 0));
+    // Where the owner's connection has gone, it is how the owner comes back.
+    p.now += 0.6;
+    let (line, _) = p.standing(6, "web");
+    p.step(Input::ClientClosed(OWNER));
+    p.client_says(OTHER, handed(6, "s-1"));
+    p.machine_says(line, release(6, cause::NORMAL));
+    assert_eq!(p.told(OTHER).len(), 1);
+}
+
 #[test]
 fn an_address_taken_over_is_seen_in_whatever_order_it_is_told() {
     for new_first in [false, true] {
