--- a/fuzz/fuzz_targets/parsers.rs
+++ b/fuzz/fuzz_targets/parsers.rs
@@ -24,10 +24,26 @@
     }
 }
 
+fn platform(data: &[u8]) {
+    let mut decoder = tidespur_platform::message::Decoder::default();
+    let (a, b) = data.split_at(data.len() / 2);
+    decoder.feed(a);
+    let first = decoder.message();
+    decoder.feed(b);
+    if first.is_err() {
+        return;
+    }
+    let mut read: Vec<u8> = first.into_iter().flatten().flat_map(|message| message.bytes()).collect();
+    while let Ok(Some(message)) = decoder.message() {
+        read.extend(message.bytes());
+    }
+    assert!(data.starts_with(&read));
+}
+
 fuzz_target!(|data: &[u8]| {
     let Some((first, data)) = data.split_first() else { return };
     let text = std::str::from_utf8(data).unwrap_or("");
-    match first % 5 {
+    match first % 7 {
         0 => frames::<ToEdge>(data),
         1 => frames::<ToPlanner>(data),
         2 => {
@@ -35,6 +51,14 @@
                 assert!(amount.is_finite() && amount >= 0.0);
             }
         }
+        4 => platform(data),
+        5 => {
+            let mut events = tidespur_platform::board::Events::default();
+            for line in data.split(|&byte| byte == b'\n') {
+                let Ok(event) = events.line(line) else { return };
+                assert!(event.is_none_or(|event| !event.is_empty()));
+            }
+        }
         3 => drop(Selector::parse(Some(text), Some(text))),
         _ => {
             let resource = &RESOURCES[data.len() % RESOURCES.len()];
