--- a/crates/planner/tests/platform.rs
+++ b/crates/planner/tests/platform.rs
@@ -264,3 +264,17 @@
         assert!(rest.is_empty());
     }
 }
+
+#[test]
+fn one_that_sends_half_a_message_and_stays_is_closed_even_if_it_has_asked_before() {
+    let ((_board, board_at), (machine, machine_at)) = (listen(), listen());
+    let scheduler = Scheduler::start("half", board_at, &event(1, true, "s-1", machine_at));
+    let mut owner = scheduler.connect();
+    owner.write_all(&set_up(5)).unwrap();
+    let mut offer = accept(&machine);
+    assert_eq!(next(&mut offer).1, 5);
+    offer.write_all(&message(9, 5, &[(225, b"own")])).unwrap();
+    assert_eq!(next(&mut owner).0, 9);
+    owner.write_all(&set_up(6)[..20]).unwrap();
+    assert_eq!(owner.read(&mut [0; 16]).expect("a close, not silence"), 0);
+}
--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -21,6 +21,8 @@
 const REPORT: f64 = 10.0;
 /// Pause of the listener where descriptors are used up.
 const SHORT: Duration = Duration::from_millis(20);
+/// A message must be whole this long after its first byte. Guards against clients that send a part and stay.
+const HALF_FOR: f64 = 2.0;
 /// A configuration that can't be read is read again after this, so many times.
 const REREAD: Duration = Duration::from_millis(100);
 const REREADS: u32 = 50;
@@ -243,8 +245,16 @@
 
     async fn serve(self: Rc<Self>, client: ClientId, socket: Rc<Socket>) {
         let mut decoder = Decoder::default();
+        let mut half_since = None;
         loop {
-            let read = socket.read(&self.buffer).await.unwrap_or(0);
+            let patience = half_since.map_or(f64::INFINITY, |since| since + HALF_FOR - clock::now());
+            let read = match clock::within(patience, socket.read(&self.buffer)).await {
+                Some(read) => read.unwrap_or(0),
+                None => {
+                    tracing::debug!(scheduler = self.name, ?client, "half a message, and no more");
+                    return self.step(vec![Input::ClientSpoilt(client)]);
+                }
+            };
             if !self.clients.borrow().contains_key(&client) {
                 return;
             }
@@ -259,6 +269,11 @@
                 tracing::debug!(scheduler = self.name, %problem, "a client");
                 inputs.push(Input::ClientSpoilt(client));
             }
+            half_since = match (decoder.unfinished(), inputs.is_empty()) {
+                (false, _) => None,
+                (true, true) => half_since.or_else(|| Some(clock::now())),
+                (true, false) => Some(clock::now()),
+            };
             self.step(inputs);
             futures_lite::future::yield_now().await;
         }
