--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tidespur_net::clock;
 use tidespur_platform::lines::LineAction;
-use tidespur_platform::message::{Decoder, Message, MessageError};
+use tidespur_platform::message::{Decoder, Message};
 use tidespur_platform::{ClientId, Door, Input, Limits, LineId, Output};
 
 /// A line of counters goes to the log this often.
@@ -155,13 +155,8 @@
         match output {
             Output::Client(client, bytes) => {
                 let socket = self.clients.borrow().get(&client).cloned()?;
-                match socket.write(&bytes) {
-                    (Wrote::Taken, rest) => {
-                        if rest {
-                            self.spawn(async move { drop(socket.drain().await) });
-                        }
-                        None
-                    }
+                match self.write(socket, &bytes) {
+                    Wrote::Taken => None,
                     _ => self.client_over(client).then_some(Input::ClientClosed(client)),
                 }
             }
@@ -176,16 +171,11 @@
             }
             Output::Line(LineAction::Write(line, bytes)) => {
                 let socket = self.lines.borrow().get(&line).cloned().flatten()?;
-                match socket.write(&bytes) {
-                    (Wrote::Taken, rest) => {
-                        if rest {
-                            self.spawn(async move { drop(socket.drain().await) });
-                        }
-                        None
-                    }
+                match self.write(socket, &bytes) {
+                    Wrote::Taken => None,
                     // The machine may have written something before it ended the connection: it is read on.
-                    (Wrote::Nothing, _) => Some(Input::LineUnwritten(line)),
-                    (Wrote::Part, _) => self.line_over(line).then_some(Input::LineEnded(line)),
+                    Wrote::Nothing => Some(Input::LineUnwritten(line)),
+                    Wrote::Part => self.line_over(line).then_some(Input::LineEnded(line)),
                 }
             }
             Output::Line(LineAction::Finish(line)) => {
@@ -209,6 +199,38 @@
         }
     }
 
+    /// Writes, and sees to what the peer does not take at once.
+    fn write(&self, socket: Rc<Socket>, bytes: &[u8]) -> Wrote {
+        let (wrote, rest) = socket.write(bytes);
+        if rest {
+            self.spawn(async move { drop(socket.drain().await) });
+        }
+        wrote
+    }
+
+    /// Puts what was read last to the messages of a connection.
+    fn take_in(
+        &self,
+        decoder: &mut Decoder,
+        read: usize,
+        said: impl Fn(Message) -> Input,
+        spoilt: Input,
+    ) -> Vec<Input> {
+        decoder.feed(&self.buffer.borrow()[..read]);
+        let mut inputs = Vec::new();
+        loop {
+            match decoder.message() {
+                Ok(Some(message)) => inputs.push(said(message)),
+                Ok(None) => return inputs,
+                Err(problem) => {
+                    tracing::debug!(scheduler = self.name, %problem, ?spoilt);
+                    inputs.push(spoilt);
+                    return inputs;
+                }
+            }
+        }
+    }
+
     fn client_over(&self, client: ClientId) -> bool {
         let socket = self.clients.borrow_mut().remove(&client);
         socket.inspect(|socket| socket.close()).is_some()
@@ -261,14 +283,8 @@
             if read == 0 {
                 break;
             }
-            decoder.feed(&self.buffer.borrow()[..read]);
-            let (messages, spoilt) = messages(&mut decoder);
-            let mut inputs: Vec<Input> =
-                messages.into_iter().map(|message| Input::ClientSaid(client, message)).collect();
-            if let Some(problem) = spoilt {
-                tracing::debug!(scheduler = self.name, %problem, "a client");
-                inputs.push(Input::ClientSpoilt(client));
-            }
+            let said = |message| Input::ClientSaid(client, message);
+            let inputs = self.take_in(&mut decoder, read, said, Input::ClientSpoilt(client));
             half_since = match (decoder.unfinished(), inputs.is_empty()) {
                 (false, _) => None,
                 (true, true) => half_since.or_else(|| Some(clock::now())),
@@ -315,15 +331,8 @@
             if read == 0 {
                 break;
             }
-            decoder.feed(&self.buffer.borrow()[..read]);
-            let (messages, spoilt) = messages(&mut decoder);
-            let mut inputs: Vec<Input> =
-                messages.into_iter().map(|message| Input::LineSaid(line, message)).collect();
-            if let Some(problem) = spoilt {
-                tracing::debug!(scheduler = self.name, %problem, "a machine");
-                inputs.push(Input::LineSpoilt(line));
-            }
-            self.step(inputs);
+            let said = |message| Input::LineSaid(line, message);
+            self.step(self.take_in(&mut decoder, read, said, Input::LineSpoilt(line)));
             futures_lite::future::yield_now().await;
         }
         if self.line_over(line) {
@@ -379,14 +388,3 @@
         }
     }
 }
-
-fn messages(decoder: &mut Decoder) -> (Vec<Message>, Option<MessageError>) {
-    let mut messages = Vec::new();
-    loop {
-        match decoder.message() {
-            Ok(Some(message)) => messages.push(message),
-            Ok(None) => return (messages, None),
-            Err(problem) => return (messages, Some(problem)),
-        }
-    }
-}
