The door read once more: one way to the lines, one end from here, no state kept twice

Found in reading the whole change: door.rs collected what connections want done in eight places and told the end of a task to its machine in two; an open request held its connection beside the request's own; two maps had the same machines; settings carried a limit nobody read; the board's follower had its own wait for a line and its own pauses, which net has (Lines::next_within, clock::sleep), and known events were written out and parsed again; a set-up without an id was read in full first; addresses taken over were searched for once a line of the list, now once an event. Behaviour and assertions stay; only the order in which a leaving scheduler writes to owner and machine is turned round.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -231,6 +231,16 @@
 }
 
 impl Lines {
+    /// The next line, where it comes within so many seconds; else why there is none.
+    pub async fn next_within(&mut self, seconds: f64) -> Result<Vec<u8>, String> {
+        match clock::within(seconds, self.next()).await {
+            None => Err("silence".into()),
+            Some(Ok(Some(line))) => Ok(line),
+            Some(Ok(None)) => Err("it ended".into()),
+            Some(Err(problem)) => Err(problem.to_string()),
+        }
+    }
+
     /// The next line; `None` at the end.
     pub async fn next(&mut self) -> Result<Option<Vec<u8>>, NetError> {
         loop {
--- a/crates/net/src/follow.rs
+++ b/crates/net/src/follow.rs
@@ -1,6 +1,6 @@
 //! A list and the watch after it, as published clients read them.
 
-use crate::{Client, clock};
+use crate::Client;
 use async_channel::Sender;
 use hyper::Method;
 use serde_json::Value;
@@ -42,11 +42,9 @@
         Err(problem) => return format!("the watch: {problem}"),
     };
     loop {
-        let line = match clock::within(silence, lines.next()).await {
-            None => return "silence".into(),
-            Some(Ok(Some(line))) => line,
-            Some(Ok(None)) => return "it ended".into(),
-            Some(Err(problem)) => return problem.to_string(),
+        let line = match lines.next_within(silence).await {
+            Ok(line) => line,
+            Err(why) => return why,
         };
         let Ok(mut event) = serde_json::from_slice::<Value>(&line) else {
             return "a line that is no JSON".into();
--- a/crates/planner/tests/platform.rs
+++ b/crates/planner/tests/platform.rs
@@ -151,6 +151,16 @@
     std::fs::write(path, text).unwrap();
 }
 
+/// Task 5 is placed: the connection of its offer.
+fn placed(owner: &mut TcpStream, machine: &TcpListener) -> TcpStream {
+    owner.write_all(&set_up(5)).unwrap();
+    let mut offer = accept(machine);
+    assert_eq!(next(&mut offer).1, 5);
+    offer.write_all(&message(9, 5, &[(225, b"own")])).unwrap();
+    assert_eq!(next(owner).0, 9);
+    offer
+}
+
 #[test]
 fn a_task_is_placed_ends_and_both_are_told_to_its_owner() {
     let (board_at, (machine, machine_at)) = (listen(), listen());
@@ -196,11 +206,7 @@
     let scheduler = Scheduler::start("reload", old_at, &first);
     let mut owner = scheduler.connect();
     let (_, _old) = board(&old_in);
-    owner.write_all(&set_up(5)).unwrap();
-    let mut offer = accept(&machine);
-    assert_eq!(next(&mut offer).1, 5);
-    offer.write_all(&message(9, 5, &[(225, b"own")])).unwrap();
-    assert_eq!(next(&mut owner).0, 9);
+    let mut offer = placed(&mut owner, &machine);
     std::fs::write(&scheduler.config, "{\"name\":").unwrap();
     scheduler.signal("-HUP");
     std::thread::sleep(Duration::from_millis(150));
@@ -252,11 +258,7 @@
         others.push(other);
     }
     let mut owner = scheduler.connect();
-    owner.write_all(&set_up(5)).unwrap();
-    let mut offer = accept(&machine);
-    assert_eq!(next(&mut offer).1, 5);
-    offer.write_all(&message(9, 5, &[(225, b"own")])).unwrap();
-    assert_eq!(next(&mut owner).0, 9);
+    let _offer = placed(&mut owner, &machine);
     // Each of the others is closed in the end.
     for mut other in others {
         let mut rest = Vec::new();
@@ -270,11 +272,7 @@
     let ((_board, board_at), (machine, machine_at)) = (listen(), listen());
     let scheduler = Scheduler::start("half", board_at, &event(1, true, "s-1", machine_at));
     let mut owner = scheduler.connect();
-    owner.write_all(&set_up(5)).unwrap();
-    let mut offer = accept(&machine);
-    assert_eq!(next(&mut offer).1, 5);
-    offer.write_all(&message(9, 5, &[(225, b"own")])).unwrap();
-    assert_eq!(next(&mut owner).0, 9);
+    let _offer = placed(&mut owner, &machine);
     owner.write_all(&set_up(6)[..20]).unwrap();
     assert_eq!(owner.read(&mut [0; 16]).expect("a close, not silence"), 0);
 }
--- a/crates/platform-net/src/board.rs
+++ b/crates/platform-net/src/board.rs
@@ -1,9 +1,7 @@
 //! Follows the notice board: connected always, and at once again after an end.
 
-use async_io::Timer;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 use tidespur_net::{Client, clock};
 use tidespur_platform::board::Events;
 
@@ -12,7 +10,7 @@
 /// The head of an answer must be there within this.
 const HEAD_WITHIN: f64 = 1.0;
 /// Pause after a connection that brought nothing.
-const AGAIN: Duration = Duration::from_millis(100);
+const AGAIN: f64 = 0.1;
 
 /// Where the board listens now.
 #[derive(Debug)]
@@ -49,7 +47,7 @@
             return;
         }
         if clock::now() - began < 0.5 {
-            Timer::after(AGAIN).await;
+            clock::sleep(AGAIN).await;
         }
     }
 }
@@ -63,11 +61,9 @@
     };
     let mut events = Events::default();
     loop {
-        let line = match clock::within(SILENCE, lines.next()).await {
-            None => return "silence".into(),
-            Some(Ok(Some(line))) => line,
-            Some(Ok(None)) => return "it ended".into(),
-            Some(Err(problem)) => return problem.to_string(),
+        let line = match lines.next_within(SILENCE).await {
+            Ok(line) => line,
+            Err(why) => return why,
         };
         match events.line(&line) {
             Ok(Some(data)) => take(&data),
--- a/crates/platform-net/src/config.rs
+++ b/crates/platform-net/src/config.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 use std::path::PathBuf;
-use tidespur_platform::board::{self, Notice};
+use tidespur_platform::board::{self, Notice, WireNotice};
 use tidespur_settings::{Info, Site};
 
 #[derive(Deserialize)]
@@ -26,7 +26,7 @@
 #[derive(Deserialize)]
 struct WireKnown {
     #[serde(default)]
-    notices: Vec<serde_json::Value>,
+    notices: Vec<WireNotice>,
 }
 
 /// The configuration, read.
@@ -63,8 +63,7 @@
 pub fn read(text: &str) -> Result<Config, String> {
     let wire: Wire = serde_json::from_str(text).map_err(|e| format!("the configuration: {e}"))?;
     let site = wire.settings.site()?;
-    let known = wire.known.notices.iter().map(|notice| board::notice(&site, &notice.to_string()));
-    let known = known.collect::<Result<Vec<Notice>, String>>()?;
+    let known = wire.known.notices.into_iter().map(|notice| board::read(&site, notice)).collect();
     let seed =
         u64::from_str_radix(&wire.seed, 16).unwrap_or_else(|_| tidespur_settings::words::hash(&wire.seed));
     Ok(Config {
--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -3,7 +3,7 @@
 use crate::board::{self, Address};
 use crate::config::{self, Config};
 use crate::socket::{Socket, TURN, Wrote};
-use async_io::{Async, Timer};
+use async_io::Async;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use smol::LocalExecutor;
@@ -11,7 +11,6 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
 use tidespur_net::clock;
 use tidespur_platform::lines::LineAction;
 use tidespur_platform::message::{Decoder, Message};
@@ -20,11 +19,11 @@
 /// A line of counters goes to the log this often.
 const REPORT: f64 = 10.0;
 /// Pause of the listener where descriptors are used up.
-const SHORT: Duration = Duration::from_millis(20);
+const SHORT: f64 = 0.02;
 /// A message must be whole this long after its first byte. Guards against clients that send a part and stay.
 const HALF_FOR: f64 = 2.0;
 /// A configuration that can't be read is read again after this, so many times.
-const REREAD: Duration = Duration::from_millis(100);
+const REREAD: f64 = 0.1;
 const REREADS: u32 = 50;
 
 struct Run {
@@ -38,7 +37,6 @@
     /// Told when the time of the next tick may have changed.
     wake: async_lock::Semaphore,
     board: Rc<Address>,
-    site: tidespur_settings::Site,
     name: String,
     over: Cell<bool>,
 }
@@ -64,7 +62,7 @@
         executor: Rc<LocalExecutor<'static>>,
         signals: Signals,
     ) -> Result<Rc<Self>, String> {
-        let door = Door::new(config.site.clone(), Limits::of(config.sockets), config.seed)?;
+        let door = Door::new(config.site, Limits::of(config.sockets), config.seed)?;
         let this = Rc::new(Self {
             door: RefCell::new(door),
             executor,
@@ -74,7 +72,6 @@
             next_client: Cell::new(0),
             wake: async_lock::Semaphore::new(0),
             board: Rc::new(Address::new(config.board.clone())),
-            site: config.site,
             name: config.name,
             over: Cell::new(false),
         });
@@ -259,7 +256,7 @@
                 }
                 Err(problem) => {
                     tracing::warn!(scheduler = self.name, %problem, "accept");
-                    Timer::after(SHORT).await;
+                    clock::sleep(SHORT).await;
                 }
             }
         }
@@ -343,9 +340,12 @@
     fn follow(self: &Rc<Self>) {
         let (this, that) = (self.clone(), self.clone());
         let noticed = move || this.door.borrow().noticed();
-        let take = move |data: &str| match tidespur_platform::board::notice(&that.site, data) {
-            Ok(notice) => that.step(vec![Input::Noticed(notice)]),
-            Err(problem) => tracing::warn!(scheduler = that.name, problem),
+        let take = move |data: &str| {
+            let notice = tidespur_platform::board::notice(that.door.borrow().site(), data);
+            match notice {
+                Ok(notice) => that.step(vec![Input::Noticed(notice)]),
+                Err(problem) => tracing::warn!(scheduler = that.name, problem),
+            }
         };
         self.spawn(board::follow(self.board.clone(), noticed, take));
     }
@@ -384,7 +384,7 @@
                 }
                 Err(problem) => tracing::warn!(scheduler = self.name, problem, "the old settings hold"),
             }
-            Timer::after(REREAD).await;
+            clock::sleep(REREAD).await;
         }
     }
 }
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -29,8 +29,9 @@
     pub listed: Vec<Listed>,
 }
 
+/// An event as it is told.
 #[derive(Deserialize)]
-struct WireNotice {
+pub struct WireNotice {
     rev: u64,
     pool: Option<WirePool>,
 }
@@ -73,6 +74,11 @@
 /// Says what can't be read; such an event counts as none.
 pub fn notice(site: &Site, data: &str) -> Result<Notice, String> {
     let wire: WireNotice = serde_json::from_str(data).map_err(|e| format!("the notice board: {e}"))?;
+    Ok(read(site, wire))
+}
+
+/// Puts names to numbers and states to standings.
+pub fn read(site: &Site, wire: WireNotice) -> Notice {
     let pool = wire.pool.unwrap_or(WirePool { reset: false, instances: Vec::new() });
     let index = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
     let listed = pool.instances.into_iter().map(|wire| {
@@ -96,7 +102,7 @@
         };
         Listed { entry, name: wire.instance_id, address: wire.host_port }
     });
-    Ok(Notice { number: wire.rev, whole: pool.reset, listed: listed.collect() })
+    Notice { number: wire.rev, whole: pool.reset, listed: listed.collect() }
 }
 
 /// Puts server-sent events together from lines. An event without its blank line at the end is none.
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -26,8 +26,6 @@
 pub enum Stage {
     /// Its owner waits.
     Open {
-        /// The connection of its set-up.
-        client: ClientId,
         /// The attempt that is out.
         attempt: Option<Attempt>,
         /// An earlier attempt may have run.
@@ -49,8 +47,8 @@
 pub struct Request {
     /// The policy's name for it.
     pub task: TaskId,
-    /// Connection of its set-up, as long as that is there, and where that came from.
-    pub client: Option<ClientId>,
+    /// The connection of its set-up, or by which its owner came back; it may have gone.
+    pub client: ClientId,
     /// The address it came from.
     pub from: Option<IpAddr>,
     /// Where it is.
@@ -118,13 +116,13 @@
     /// Takes in a request.
     pub fn add(&mut self, id: Id, request: Request) {
         self.ids.insert(request.task, id);
-        self.index(id, request.stage, true);
+        self.index(id, request.client, request.stage, true);
         self.requests.insert(id, request);
     }
 
-    fn index(&mut self, id: Id, stage: Stage, add: bool) {
+    fn index(&mut self, id: Id, client: ClientId, stage: Stage, add: bool) {
         match stage {
-            Stage::Open { client, attempt, .. } => {
+            Stage::Open { attempt, .. } => {
                 let until = attempt.map(|attempt| (micros(attempt.until), id));
                 if add {
                     self.of_client.insert((client, id));
@@ -142,9 +140,9 @@
     /// Brings a request to another stage.
     pub fn put(&mut self, id: Id, stage: Stage) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let old = std::mem::replace(&mut request.stage, stage);
-        self.index(id, old, false);
-        self.index(id, stage, true);
+        let (client, old) = (request.client, std::mem::replace(&mut request.stage, stage));
+        self.index(id, client, old, false);
+        self.index(id, client, stage, true);
     }
 
     /// Counts an attempt; tells its number.
@@ -155,9 +153,11 @@
         })
     }
 
-    /// The owner is reached by another connection now, or by none.
-    pub fn reached_by(&mut self, id: Id, client: Option<ClientId>, from: Option<IpAddr>) {
-        if let Some(request) = self.requests.get_mut(&id) {
+    /// The owner of a task that stands came back by another connection.
+    pub fn reached_by(&mut self, id: Id, client: ClientId, from: Option<IpAddr>) {
+        if let Some(request) = self.requests.get_mut(&id)
+            && matches!(request.stage, Stage::Standing { .. })
+        {
             (request.client, request.from) = (client, from.or(request.from));
         }
     }
@@ -166,7 +166,7 @@
     pub fn remove(&mut self, id: Id) -> Option<Request> {
         let request = self.requests.remove(&id)?;
         self.ids.remove(&request.task);
-        self.index(id, request.stage, false);
+        self.index(id, request.client, request.stage, false);
         Some(request)
     }
 
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -4,13 +4,13 @@
 use crate::clients::Clients;
 use crate::counts::Counts;
 use crate::desk::{Attempt, Desk, Request, Stage, micros};
-use crate::lines::{LineAction, Lines, News};
+use crate::lines::{End, LineAction, Lines, News};
 use crate::message::{Id, Kind, Message, cause, code};
 use crate::{ClientId, LineId, ask, board};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
 use tidespur_policy::Scheduler;
-use tidespur_policy::interface::{Action, Ending, Event, MachineId, Report, Seconds, TaskId, Why};
+use tidespur_policy::interface::{Action, Ending, Event, MachineId, Report, Seconds, Standing, TaskId, Why};
 use tidespur_settings::Site;
 
 /// Set-ups without an answer on one connection; more are refused at once.
@@ -99,8 +99,8 @@
     desk: Desk,
     lines: Lines,
     clients: Clients,
-    started: BTreeMap<MachineId, Option<Seconds>>,
-    names: BTreeMap<MachineId, String>,
+    /// Machines that are listed, or of which something is still here: name, and when it last started.
+    known: BTreeMap<MachineId, (String, Option<Seconds>)>,
     noticed: u64,
     events: Vec<Event>,
     timers: BTreeSet<(u64, u64)>,
@@ -122,8 +122,7 @@
             desk: Desk::default(),
             lines: Lines::new(limits.lines, site.connect_timeout),
             clients: Clients::new(limits.clients),
-            started: BTreeMap::new(),
-            names: BTreeMap::new(),
+            known: BTreeMap::new(),
             noticed: 0,
             events: Vec::new(),
             timers: BTreeSet::new(),
@@ -140,6 +139,11 @@
         self.noticed
     }
 
+    /// The settings that it works by.
+    pub fn site(&self) -> &Site {
+        &self.site
+    }
+
     /// What was done so far.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -175,8 +179,6 @@
     }
 
     fn take(&mut self, now: Seconds, input: Input, out: &mut Vec<Output>) {
-        let mut acts = Vec::new();
-        let mut news = Vec::new();
         match input {
             Input::ClientOpened(client, from) => {
                 if let Some(victim) = self.clients.opened(now, client, from) {
@@ -197,18 +199,16 @@
                 self.clients.closed(client);
                 self.forget_client(now, client, out);
             }
-            Input::LineOpened(line) => self.lines.opened(now, line, &mut acts),
-            Input::LineRefused(line) => self.lines.ended(now, line, true, false, &mut news),
-            Input::LineEnded(line) => self.lines.ended(now, line, false, false, &mut news),
-            Input::LineUnwritten(line) => self.lines.ended(now, line, false, true, &mut news),
-            Input::LineSpoilt(line) => self.lines.spoilt(now, line, &mut acts, &mut news),
+            Input::LineOpened(line) => self.on_lines(out, |lines, acts| lines.opened(now, line, acts)),
+            Input::LineRefused(line) => self.line_ended(now, line, End::Refused, out),
+            Input::LineEnded(line) => self.line_ended(now, line, End::Other, out),
+            Input::LineUnwritten(line) => self.line_ended(now, line, End::Unwritten, out),
+            Input::LineSpoilt(line) => self.spoilt(now, line, out),
             Input::LineSaid(line, message) => self.line_said(now, line, &message, out),
             Input::Noticed(notice) => self.notice(now, notice, out),
             Input::Leave => self.leaving = self.leaving.or(Some(now)),
             Input::Tick => {}
         }
-        out.extend(acts.into_iter().map(Output::Line));
-        self.hear(now, news, out);
     }
 
     /// What is due by now.
@@ -218,16 +218,14 @@
             self.events.push(Event::Timer(token));
         }
         for id in self.desk.late(now) {
-            self.counts.late += 1;
-            self.give_up(now, id, Ending::Late, out);
+            self.late(now, id, out);
         }
         if now - self.ticked < TICK {
             return;
         }
         self.ticked = now;
-        let (mut acts, mut news) = (Vec::new(), Vec::new());
-        self.lines.tick(now, &mut acts, &mut news);
-        out.extend(acts.into_iter().map(Output::Line));
+        let mut news = Vec::new();
+        self.on_lines(out, |lines, acts| lines.tick(now, acts, &mut news));
         self.hear(now, news, out);
         for client in self.clients.silent(now) {
             self.counts.closed += 1;
@@ -235,8 +233,7 @@
         }
         // Machines come and go without end: what is kept of one goes with its last connection.
         let lines = &self.lines;
-        self.names.retain(|machine, _| lines.knows(*machine));
-        self.started.retain(|machine, _| lines.knows(*machine));
+        self.known.retain(|machine, _| lines.knows(*machine));
         self.pay(out);
         self.leave(now, out);
     }
@@ -254,9 +251,8 @@
                 // What may run can't be refused: its owner would ask again at once.
                 let harmless = attempt.is_none() && !may_have_run;
                 let word = if harmless { cause::CONGESTED } else { cause::FAILED };
-                self.drop_request(now, id, out);
                 self.reply(id, Message::release(id, word).bytes(), out);
-                self.desk.remove(id);
+                self.drop_request(now, id, out);
             }
         }
         if latest || self.desk.count() == 0 {
@@ -278,7 +274,6 @@
         for id in self.desk.of_client(client) {
             self.counts.dropped += 1;
             self.drop_request(now, id, out);
-            self.desk.remove(id);
         }
     }
 
@@ -291,21 +286,17 @@
                 out.push(Output::Client(client, tested.bytes()));
                 self.clients.free(now, client)
             }
-            Kind::Release => match self.desk.get(id).map(|request| request.stage) {
-                Some(Stage::Open { client: by, .. }) if by == client => {
+            Kind::Release => match self.desk.get(id).map(|request| (request.client, request.stage)) {
+                Some((by, Stage::Open { .. })) if by == client => {
                     self.counts.dropped += 1;
                     self.drop_request(now, id, out);
-                    self.desk.remove(id);
                     false
                 }
                 // Another's set-up that waits is not touched.
-                Some(Stage::Open { .. }) => self.clients.useless(now, client),
-                Some(Stage::Standing { machine, attempt, .. }) => {
-                    let mut acts = Vec::new();
-                    self.lines.tell(now, machine, Message::release(id, cause::ENDED).bytes(), &mut acts);
-                    out.extend(acts.into_iter().map(Output::Line));
+                Some((_, Stage::Open { .. })) => self.clients.useless(now, client),
+                Some((_, Stage::Standing { .. })) => {
                     out.push(Output::Client(client, Message::new(Kind::Heard, id).bytes()));
-                    self.end(now, id, attempt, Ending::Cancelled, None);
+                    self.end_at_machine(now, id, out);
                     false
                 }
                 None => self.clients.useless(now, client),
@@ -322,22 +313,22 @@
 
     fn set_up(&mut self, now: Seconds, client: ClientId, message: Message, out: &mut Vec<Output>) {
         let id = message.id;
-        let read = ask::read(&self.site, now, &message);
         if id == Id::default() {
             // No id at all: an answer to it could be anybody's.
             self.counts.useless += 1;
             self.close_client(now, client, out);
             return;
         }
+        let read = ask::read(&self.site, now, &message);
         if let Some(known) = self.desk.get(id) {
             let handed = read.as_ref().is_ok_and(|ask| ask.at.is_some());
             if handed && matches!(known.stage, Stage::Standing { .. }) {
                 // Whoever names what is held already is believed to be its owner only where the one who is known
                 // has gone: else anybody with an id could draw its end to himself.
-                if !known.client.is_some_and(|client| self.clients.has(client)) {
+                if !self.clients.has(known.client) {
                     self.clients.proves(now, client);
                     self.clients.count_standing(client, true);
-                    self.desk.reached_by(id, Some(client), self.clients.from(client));
+                    self.desk.reached_by(id, client, self.clients.from(client));
                 }
             } else {
                 // Two requests of one number: neither answer could be told from the other.
@@ -356,12 +347,11 @@
         let bytes = |code| message.get(code).map(<[u8]>::to_vec).unwrap_or_default();
         let (class, name) = (bytes(code::CLASS), bytes(code::NAME));
         let description = bytes(code::DESCRIPTION);
-        let stage = Stage::Open { client, attempt: None, may_have_run: false };
-        let mut request =
-            Request { task, client: Some(client), from, stage, class, name, description, sends: 0 };
+        let stage = Stage::Open { attempt: None, may_have_run: false };
+        let mut request = Request { task, client, from, stage, class, name, description, sends: 0 };
         if let Some(at) = &ask.at {
             let machine = board::machine_id(at);
-            if self.desk.has_ended(id) || !self.names.contains_key(&machine) {
+            if self.desk.has_ended(id) || !self.known.contains_key(&machine) {
                 let over = Message::release(id, cause::FAILED).bytes();
                 out.push(Output::Client(client, over));
                 return;
@@ -404,7 +394,7 @@
     /// Sends bytes to the owner of a request, by whatever way leads there.
     fn reply(&mut self, id: Id, bytes: Vec<u8>, out: &mut Vec<Output>) {
         let Some(request) = self.desk.get(id) else { return };
-        match self.clients.way(request.client, request.from) {
+        match self.clients.way(Some(request.client), request.from) {
             Some(client) => {
                 self.clients.released(client);
                 out.push(Output::Client(client, bytes));
@@ -430,65 +420,87 @@
 
     // Requests.
 
-    /// The owner gave a request up: nothing is owed, and what is out for it is given up at its machine.
+    /// A request whose owner waits is over: nothing is owed, and what is out for it is given up at its machine.
     fn drop_request(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
-        let Some(request) = self.desk.get(id) else { return };
-        let (task, Stage::Open { client, attempt, .. }) = (request.task, request.stage) else { return };
-        self.clients.count_open(now, client, false);
+        let Some(request) = self.desk.remove(id) else { return };
+        let (task, Stage::Open { attempt, .. }) = (request.task, request.stage) else { return };
+        self.clients.count_open(now, request.client, false);
         self.events.push(Event::Dropped(task));
         if let Some(attempt) = attempt {
-            let mut acts = Vec::new();
-            self.lines.give_up(now, attempt.line, id, false, &mut acts);
-            out.extend(acts.into_iter().map(Output::Line));
-            let outcome = (task, attempt.number, Ending::Cancelled, true, None);
-            self.events.push(event(outcome));
+            self.on_lines(out, |lines, acts| lines.give_up(now, attempt.line, id, false, acts));
+            self.events.push(event((task, attempt.number, Ending::Cancelled, true, None)));
         }
     }
 
-    /// An attempt is given up here, for that reason.
-    fn give_up(&mut self, now: Seconds, id: Id, ending: Ending, out: &mut Vec<Output>) {
+    /// The time of an attempt is over: it is given up.
+    fn late(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
         let Some(Stage::Open { attempt: Some(attempt), .. }) = self.desk.get(id).map(|r| r.stage) else {
             return;
         };
-        let mut acts = Vec::new();
-        self.lines.give_up(now, attempt.line, id, true, &mut acts);
-        out.extend(acts.into_iter().map(Output::Line));
-        self.attempt_ended(now, id, ending, None);
+        self.counts.late += 1;
+        self.on_lines(out, |lines, acts| lines.give_up(now, attempt.line, id, true, acts));
+        self.attempt_ended(id, Ending::Late, None);
     }
 
     /// The attempt that is out has ended without an answer that the task stands.
-    fn attempt_ended(&mut self, _now: Seconds, id: Id, ending: Ending, report: Option<Report>) {
+    fn attempt_ended(&mut self, id: Id, ending: Ending, report: Option<Report>) {
         let Some(request) = self.desk.get(id) else { return };
-        let Stage::Open { client, attempt: Some(attempt), may_have_run } = request.stage else { return };
+        let Stage::Open { attempt: Some(attempt), may_have_run } = request.stage else { return };
         let task = request.task;
         let ran = !matches!(ending, Ending::Full(_) | Ending::NoConnection | Ending::Void);
         self.lines.settled(attempt.line, id);
-        self.desk.put(id, Stage::Open { client, attempt: None, may_have_run: may_have_run || ran });
+        self.desk.put(id, Stage::Open { attempt: None, may_have_run: may_have_run || ran });
         self.events.push(event((task, attempt.number, ending, false, report)));
     }
 
+    /// A standing task is ended from here: its machine is told.
+    fn end_at_machine(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
+        let Some(Stage::Standing { machine, attempt, .. }) = self.desk.get(id).map(|r| r.stage) else {
+            return;
+        };
+        let ended = Message::release(id, cause::ENDED).bytes();
+        self.on_lines(out, |lines, acts| lines.tell(now, machine, ended, acts));
+        self.end(now, id, attempt, Ending::Cancelled, None);
+    }
+
     /// A standing task has ended.
     fn end(&mut self, now: Seconds, id: Id, attempt: u32, ending: Ending, report: Option<Report>) {
         let Some(request) = self.desk.remove(id) else { return };
         if let Stage::Standing { machine, .. } = request.stage {
             self.lines.hold(now, machine, false);
         }
-        if let Some(client) = request.client {
-            self.clients.count_standing(client, false);
-        }
+        self.clients.count_standing(request.client, false);
         self.counts.ended += 1;
         self.events.push(event((request.task, attempt, ending, true, report)));
     }
 
     // Machines.
 
+    /// Has something done with the connections to machines, and what it leads to carried out.
+    fn on_lines<T>(
+        &mut self,
+        out: &mut Vec<Output>,
+        act: impl FnOnce(&mut Lines, &mut Vec<LineAction>) -> T,
+    ) -> T {
+        let mut acts = Vec::new();
+        let done = act(&mut self.lines, &mut acts);
+        out.extend(acts.into_iter().map(Output::Line));
+        done
+    }
+
+    fn line_ended(&mut self, now: Seconds, line: LineId, end: End, out: &mut Vec<Output>) {
+        let mut news = Vec::new();
+        self.lines.ended(now, line, end, &mut news);
+        self.hear(now, news, out);
+    }
+
     fn line_said(&mut self, now: Seconds, line: LineId, message: &Message, out: &mut Vec<Output>) {
         self.lines.heard(now, line);
         let Some(from) = self.lines.machine(line) else { return };
         let id = message.id;
-        let stage = self.desk.get(id).map(|request| (request.task, request.stage));
-        match (message.kind, stage) {
-            (Kind::Answer, Some((task, Stage::Open { client, attempt: Some(attempt), .. })))
+        let known = self.desk.get(id).map(|request| (request.task, request.client, request.stage));
+        match (message.kind, known) {
+            (Kind::Answer, Some((task, client, Stage::Open { attempt: Some(attempt), .. })))
                 if attempt.line == line =>
             {
                 let Some(description) = message.get(code::DESCRIPTION) else {
@@ -505,7 +517,7 @@
                 self.events.push(Event::Confirmed { task, attempt: attempt.number });
                 self.reply(id, answer.bytes(), out);
             }
-            (Kind::Release, Some((_, Stage::Open { attempt: Some(attempt), .. })))
+            (Kind::Release, Some((_, _, Stage::Open { attempt: Some(attempt), .. })))
                 if attempt.line == line =>
             {
                 let why = ask::why(message);
@@ -520,9 +532,9 @@
                     Ending::Failed => self.counts.errors += 1,
                     _ => self.counts.broken += 1,
                 }
-                self.attempt_ended(now, id, ending, ask::report(message));
+                self.attempt_ended(id, ending, ask::report(message));
             }
-            (Kind::Release, Some((_, Stage::Standing { machine, attempt, .. }))) if machine == from => {
+            (Kind::Release, Some((_, _, Stage::Standing { machine, attempt, .. }))) if machine == from => {
                 out.push(Output::Line(LineAction::Write(line, Message::new(Kind::Heard, id).bytes())));
                 let word = message.cause().unwrap_or(cause::FAILED);
                 let ending = match word {
@@ -540,7 +552,7 @@
                 self.desk.ended_elsewhere(now, id);
                 out.push(Output::Line(LineAction::Write(line, Message::new(Kind::Heard, id).bytes())));
             }
-            (Kind::Note, Some((task, Stage::Standing { machine, .. }))) if machine == from => {
+            (Kind::Note, Some((task, _, Stage::Standing { machine, .. }))) if machine == from => {
                 if let Some(note) = ask::note(message) {
                     self.events.push(Event::Note { task, note });
                 }
@@ -556,9 +568,8 @@
     }
 
     fn spoilt(&mut self, now: Seconds, line: LineId, out: &mut Vec<Output>) {
-        let (mut acts, mut news) = (Vec::new(), Vec::new());
-        self.lines.spoilt(now, line, &mut acts, &mut news);
-        out.extend(acts.into_iter().map(Output::Line));
+        let mut news = Vec::new();
+        self.on_lines(out, |lines, acts| lines.spoilt(now, line, acts, &mut news));
         self.hear(now, news, out);
     }
 
@@ -567,14 +578,14 @@
             match news {
                 News::Unsent(id) => {
                     self.counts.unsent += 1;
-                    self.attempt_ended(now, id, Ending::NoConnection, None);
+                    self.attempt_ended(id, Ending::NoConnection, None);
                 }
                 News::Broken(id) => {
                     self.counts.broken += 1;
-                    self.attempt_ended(now, id, Ending::Broken(Why::Unknown), None);
+                    self.attempt_ended(id, Ending::Broken(Why::Unknown), None);
                 }
                 News::Lost(machine) => {
-                    let name = self.names.get(&machine).map_or("", String::as_str);
+                    let name = self.known.get(&machine).map_or("", |(name, _)| name.as_str());
                     out.push(Output::Log(format!("machine {name} is lost")));
                     self.lose(now, machine, now, out);
                 }
@@ -609,12 +620,10 @@
             self.lines.only(&notice.listed.iter().map(|listed| listed.entry.machine).collect());
         }
         for listed in notice.listed {
-            let (machine, gone) =
-                (listed.entry.machine, listed.entry.standing == tidespur_policy::interface::Standing::Gone);
-            self.lines.listed(now, machine, &listed.address, gone, &mut news);
-            let before = self.started.insert(machine, listed.entry.up_since);
-            self.names.insert(machine, listed.name);
-            if let (Some(before), Some(up)) = (before, listed.entry.up_since)
+            let (machine, gone) = (listed.entry.machine, listed.entry.standing == Standing::Gone);
+            self.lines.listed(now, machine, &listed.address, gone);
+            let before = self.known.insert(machine, (listed.name, listed.entry.up_since));
+            if let (Some((_, before)), Some(up)) = (before, listed.entry.up_since)
                 && before.is_none_or(|before| up > before)
             {
                 // It has started anew: what stood there before is over.
@@ -622,6 +631,7 @@
             }
             entries.push(listed.entry);
         }
+        self.lines.taken_over(&mut news);
         self.hear(now, news, out);
         self.events.push(if notice.whole { Event::ListWhole(entries) } else { Event::ListChanges(entries) });
     }
@@ -641,15 +651,10 @@
             }
             Action::Move(task) => {
                 let Some(id) = self.desk.id(task) else { return };
-                let Some(Stage::Standing { machine, attempt, .. }) = self.desk.get(id).map(|r| r.stage)
-                else {
-                    return;
-                };
-                let mut acts = Vec::new();
-                self.lines.tell(now, machine, Message::release(id, cause::ENDED).bytes(), &mut acts);
-                out.extend(acts.into_iter().map(Output::Line));
-                self.reply(id, Message::new(Kind::Move, id).bytes(), out);
-                self.end(now, id, attempt, Ending::Cancelled, None);
+                if self.desk.get(id).is_some_and(|r| matches!(r.stage, Stage::Standing { .. })) {
+                    self.reply(id, Message::new(Kind::Move, id).bytes(), out);
+                    self.end_at_machine(now, id, out);
+                }
             }
             // The board is followed all the time: there is nothing to ask for.
             Action::Subscribe => self.events.push(Event::ListChanges(Vec::new())),
@@ -663,7 +668,9 @@
 
     fn finish(&mut self, now: Seconds, task: TaskId, word: u8, out: &mut Vec<Output>) {
         let Some(id) = self.desk.id(task) else { return };
-        let Some(Stage::Open { client, .. }) = self.desk.get(id).map(|r| r.stage) else { return };
+        let Some((client, Stage::Open { .. })) = self.desk.get(id).map(|r| (r.client, r.stage)) else {
+            return;
+        };
         self.reply(id, Message::release(id, word).bytes(), out);
         self.clients.count_open(now, client, false);
         self.desk.remove(id);
@@ -673,7 +680,7 @@
         let Some(id) = self.desk.id(task) else { return };
         let number = self.desk.sends(id);
         let Some(request) = self.desk.get(id) else { return };
-        let Stage::Open { client, may_have_run, .. } = request.stage else { return };
+        let Stage::Open { may_have_run, .. } = request.stage else { return };
         let milliseconds = (wait * 1000.0).ceil().max(1.0) as u64;
         let set_up = Message::new(Kind::SetUp, id)
             .with(code::CLASS, &request.class)
@@ -681,13 +688,10 @@
             .with(code::NAME, &request.name)
             .with(code::DESCRIPTION, &request.description);
         self.counts.offers += 1;
-        let mut acts = Vec::new();
-        let line = self.lines.offer(now, machine, id, set_up.bytes(), &mut acts);
-        out.extend(acts.into_iter().map(Output::Line));
-        match line {
+        match self.on_lines(out, |lines, acts| lines.offer(now, machine, id, set_up.bytes(), acts)) {
             Some(line) => {
                 let attempt = Some(Attempt { number, line, until: now + wait });
-                self.desk.put(id, Stage::Open { client, attempt, may_have_run });
+                self.desk.put(id, Stage::Open { attempt, may_have_run });
             }
             None => {
                 self.counts.unsent += 1;
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -54,6 +54,17 @@
     Lost(MachineId),
 }
 
+/// How a connection ended, or was not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Nobody listens there.
+    Refused,
+    /// Not a byte left of what was written last; the connection is read to its end.
+    Unwritten,
+    /// Otherwise.
+    Other,
+}
+
 #[derive(Debug)]
 struct Line {
     machine: MachineId,
@@ -72,6 +83,11 @@
     fn idle(&self) -> bool {
         self.dialled.is_none() && self.offers.is_empty()
     }
+
+    /// Open, and nothing stands against it.
+    fn sound(&self) -> bool {
+        self.dialled.is_none() && self.tested_at.is_none()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -139,16 +155,8 @@
         self.peers.contains_key(&machine)
     }
 
-    /// The list tells of a machine. One that has gone and at whose address another listens now is no more, in
-    /// whatever order that is told.
-    pub fn listed(
-        &mut self,
-        now: Seconds,
-        machine: MachineId,
-        address: &str,
-        gone: bool,
-        news: &mut Vec<News>,
-    ) {
+    /// The list tells of a machine. Once all that is told at a time was told, [`Lines::taken_over`] follows.
+    pub fn listed(&mut self, now: Seconds, machine: MachineId, address: &str, gone: bool) {
         let peer = self.peers.entry(machine).or_insert_with(|| Peer { heard_at: now, ..Peer::default() });
         // One that was forgotten gets no address back: another may listen there.
         let forgotten = gone && peer.address.is_empty();
@@ -156,6 +164,10 @@
             peer.address = address.to_owned();
         }
         peer.gone = gone;
+    }
+
+    /// A machine that has gone and at whose address another listens now is no more.
+    pub fn taken_over(&mut self, news: &mut Vec<News>) {
         let taken = |at: &str| self.peers.values().any(|peer| !peer.gone && peer.address == at);
         let over = self.peers.iter().filter(|(_, peer)| peer.gone && !peer.address.is_empty());
         let over: Vec<MachineId> = over.filter(|(_, peer)| taken(&peer.address)).map(|(&id, _)| id).collect();
@@ -202,12 +214,11 @@
         self.next += 1;
         let line = LineId(self.next);
         out.push(LineAction::Dial(line, address));
-        let (offers, waiting) = (Vec::new(), Vec::new());
         let made = Line {
             machine,
             dialled: Some(now),
-            offers,
-            waiting,
+            offers: Vec::new(),
+            waiting: Vec::new(),
             heard_at: now,
             used_at: now,
             tested_at: None,
@@ -219,9 +230,7 @@
     /// Whether it is the one connection to a machine that holds a task of ours.
     fn needed(&self, id: LineId, line: &Line) -> bool {
         self.peers.get(&line.machine).is_some_and(|peer| peer.holds > 0)
-            && !self.lines.iter().any(|(&other, o)| {
-                other != id && o.machine == line.machine && o.dialled.is_none() && o.tested_at.is_none()
-            })
+            && !self.lines.iter().any(|(&other, o)| other != id && o.machine == line.machine && o.sound())
     }
 
     /// Sends a set-up to a machine; `None`: there is no way to it, and nothing left.
@@ -234,7 +243,7 @@
         out: &mut Vec<LineAction>,
     ) -> Option<LineId> {
         let fresh = self.lines.iter_mut().filter(|(_, line)| {
-            line.machine == machine && line.idle() && line.tested_at.is_none() && now - line.heard_at < FRESH
+            line.machine == machine && line.idle() && line.sound() && now - line.heard_at < FRESH
         });
         if let Some((&at, line)) = fresh.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)) {
             line.offers.push(id);
@@ -264,10 +273,8 @@
 
     /// Tells a machine something about a task that stands there, now or once there is a connection.
     pub fn tell(&mut self, now: Seconds, machine: MachineId, bytes: Vec<u8>, out: &mut Vec<LineAction>) {
-        let open = self.lines.iter_mut().filter(|(_, line)| {
-            line.machine == machine && line.dialled.is_none() && line.tested_at.is_none()
-        });
-        if let Some((&at, line)) = open.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)) {
+        let sound = self.lines.iter_mut().filter(|(_, line)| line.machine == machine && line.sound());
+        if let Some((&at, line)) = sound.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)) {
             line.used_at = now;
             out.push(LineAction::Write(at, bytes));
             return;
@@ -323,13 +330,12 @@
         }
     }
 
-    /// A connection ended, or could not be made; `refused`: nobody listens there. `unwritten`: what was written
-    /// last did not leave; then the connection is read to its end.
-    pub fn ended(&mut self, now: Seconds, id: LineId, refused: bool, unwritten: bool, news: &mut Vec<News>) {
+    /// A connection ended, or could not be made.
+    pub fn ended(&mut self, now: Seconds, id: LineId, end: End, news: &mut Vec<News>) {
         self.finishing.remove(&id);
         let Some(mut line) = self.lines.remove(&id) else { return };
         let dialling = line.dialled.is_some();
-        if unwritten {
+        if end == End::Unwritten {
             // What the machine wrote before it ended the connection may still be there to read.
             self.finishing.insert(id, (line.machine, now));
             news.extend(line.offers.pop().map(News::Unsent));
@@ -343,7 +349,7 @@
         let Some(peer) = self.peers.get_mut(&line.machine) else { return };
         if dialling {
             peer.fails += 1;
-            peer.refused = if refused { peer.refused + 1 } else { 0 };
+            peer.refused = if end == End::Refused { peer.refused + 1 } else { 0 };
             peer.redial_at = now + REDIAL;
             // A machine may refuse because it has too many connections: then it is heard on another.
             if peer.refused >= 2 && !alive && peer.holds > 0 {
@@ -356,7 +362,7 @@
     pub fn spoilt(&mut self, now: Seconds, id: LineId, out: &mut Vec<LineAction>, news: &mut Vec<News>) {
         if self.lines.contains_key(&id) || self.finishing.contains_key(&id) {
             out.push(LineAction::Close(id));
-            self.ended(now, id, false, false, news);
+            self.ended(now, id, End::Other, news);
         }
     }
 
--- a/crates/settings/src/info.rs
+++ b/crates/settings/src/info.rs
@@ -5,8 +5,6 @@
 
 /// Where the settings do not tell: a connection not made within this counts as none.
 const CONNECT_TIMEOUT: Seconds = 0.25;
-/// Likewise: machines close a connection that was idle for so long.
-const IDLE: Seconds = 30.0;
 
 /// What a door needs: the policy's settings, and the names and limits that only sockets meet.
 #[derive(Clone, Debug)]
@@ -21,8 +19,6 @@
     pub zones: Vec<String>,
     /// A connection not made within this counts as none.
     pub connect_timeout: Seconds,
-    /// Machines close a connection that was idle for so long.
-    pub idle: Seconds,
 }
 
 /// The settings object as it is told. Keys that are not known are passed over.
@@ -112,8 +108,6 @@
     retry_after: bool,
     #[serde(default)]
     connect_timeout_s: Option<f64>,
-    #[serde(default)]
-    conn_idle_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -162,17 +156,16 @@
     /// # Errors
     /// Names the field that can't be worked with.
     pub fn settings(self) -> Result<Settings, String> {
-        let info = self;
-        let fam = info.family_info;
+        let fam = self.family_info;
         let lengths = [
             ("kindCores", fam.kind_cores.len(), fam.mem_of_kind.len()),
-            ("classCalm", fam.class_calm.len(), info.services.len()),
-            ("lostAfter", fam.lost_after.len(), info.services.len()),
-            ("kindByClass", fam.kind_by_class.len(), info.services.len()),
-            ("priorityByClass", fam.priority_by_class.len(), info.services.len()),
-            ("apartBy", fam.apart_by.len(), info.services.len()),
-            ("togetherMax", fam.together_max.len(), info.services.len()),
-            ("startSeconds", fam.start_seconds.len(), info.services.len()),
+            ("classCalm", fam.class_calm.len(), self.services.len()),
+            ("lostAfter", fam.lost_after.len(), self.services.len()),
+            ("kindByClass", fam.kind_by_class.len(), self.services.len()),
+            ("priorityByClass", fam.priority_by_class.len(), self.services.len()),
+            ("apartBy", fam.apart_by.len(), self.services.len()),
+            ("togetherMax", fam.together_max.len(), self.services.len()),
+            ("startSeconds", fam.start_seconds.len(), self.services.len()),
         ];
         for (field, is, wanted) in lengths {
             if is != wanted {
@@ -180,7 +173,7 @@
             }
         }
         let mut classes = Vec::new();
-        for (i, s) in info.services.into_iter().enumerate() {
+        for (i, s) in self.services.into_iter().enumerate() {
             let effect = match s.effect.as_str() {
                 "safe" => Effect::Safe,
                 "unsafe" => Effect::Unsafe,
@@ -203,13 +196,13 @@
                 spread_most: fam.together_max[i],
             });
         }
-        let (safety, limits, tariffs) = (info.safety, info.limits, info.tariffs);
+        let (safety, limits, tariffs) = (self.safety, self.limits, self.tariffs);
         Ok(Settings {
-            ordinal: info.ordinal,
-            schedulers: info.balancers,
-            zone: info.locality,
+            ordinal: self.ordinal,
+            schedulers: self.balancers,
+            zone: self.locality,
             classes,
-            tenants: info
+            tenants: self
                 .realms
                 .iter()
                 .map(|r| Tenant { share: r.share, quota_per_s: r.quota_per_s })
@@ -224,9 +217,9 @@
             admit_memory: fam.accepts_memory,
             one_home: fam.one_home,
             confirm_when_running: fam.ack == "running",
-            subscribe: info.discovery == "ask",
+            subscribe: self.discovery == "ask",
             lists_free: fam.lists_free,
-            reports: match info.report.via.as_str() {
+            reports: match self.report.via.as_str() {
                 "answers" => Reports::Answers,
                 "probe" => Reports::Probes,
                 _ => Reports::None,
@@ -236,7 +229,7 @@
             messages: limits.peers,
             max_attempts: limits.max_attempts,
             max_retry_after: if limits.retry_after { limits.max_retry_after_s } else { 0.0 },
-            over_share_worth: info.over_share_worth,
+            over_share_worth: self.over_share_worth,
             safety: Safety {
                 answer_slack: safety.answer_slack_s,
                 ask_within: safety.ask_within_s,
@@ -268,7 +261,6 @@
             kinds: self.kinds.clone(),
             zones: self.zones.clone(),
             connect_timeout: self.limits.connect_timeout_s.filter(|s| *s > 0.0).unwrap_or(CONNECT_TIMEOUT),
-            idle: self.limits.conn_idle_s.filter(|s| *s > 0.0).unwrap_or(IDLE),
             settings: self.settings()?,
         })
     }
