Tasks that wait share one walk over the machines; connections are found by machine

Seen: at full size each look at each waiting task walked all machines every 50 ms, and each dial at the limit asked `needed` of each idle line, which walked all lines: 4 to 6 s of processor time a scheduler in 25 s, all it had.

The policy's choices are unchanged. Within one look machines only fill, so what finds no machine finds none for a larger task of its class, tenant and (where it counts) service; what bars a machine for all is found once a step and again for the machine that was sent to (Look in choice.rs: pick, look_again). A unit test holds the plain walk for each task against it, pick by pick, the state of chance included; it fails without look_again, without the service in the shape, without the exception for tasks bound to a group, and without forgetting after an offer to a cold machine. Bar's order of telling is the order of its variants, as before.

Lines: a machine knows its connections, spare ones stand in order of use (reckon); dial, offer, tell, tick and keep walk the few lines of one machine.

Not built: remembering over looks what has changed. Each look is now one walk a shape; where it would save most, under load, events that can change an answer come between any two looks.

--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -5,6 +5,7 @@
 //! machine that vanished says nothing.
 
 use crate::LineId;
+use crate::desk::micros;
 use crate::message::{Id, Kind, Message, cause, code};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tidespur_policy::interface::{MachineId, Seconds};
@@ -79,6 +80,8 @@
     heard_at: Seconds,
     used_at: Seconds,
     tested_at: Option<Seconds>,
+    /// Under which time it stands among the spare ones, if it does.
+    spare: Option<u64>,
 }
 
 impl Line {
@@ -96,6 +99,8 @@
 struct Peer {
     address: String,
     gone: bool,
+    /// Connections to it that are not finished.
+    lines: BTreeSet<LineId>,
     /// Tasks of ours that stand there.
     holds: usize,
     heard_at: Seconds,
@@ -111,6 +116,8 @@
 pub struct Lines {
     peers: BTreeMap<MachineId, Peer>,
     lines: BTreeMap<LineId, Line>,
+    /// Idle connections that are not needed, in order of use: found without a walk over all.
+    spare: BTreeSet<(u64, LineId)>,
     /// Finished, and not ended by the machine yet: whose, and since when.
     finishing: BTreeMap<LineId, (MachineId, Seconds)>,
     next: u64,
@@ -123,7 +130,8 @@
     /// No connections yet; at most `most` at once, each made within `connect_within`.
     pub fn new(most: usize, connect_within: Seconds) -> Self {
         let (peers, lines, finishing) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Self { peers, lines, finishing, next: 0, most: most.max(2), connect_within }
+        let (spare, most) = (BTreeSet::new(), most.max(2));
+        Self { peers, lines, spare, finishing, next: 0, most, connect_within }
     }
 
     /// The machine at the other end.
@@ -137,9 +145,44 @@
         self.lines.len() + self.finishing.len()
     }
 
+    /// Takes a connection out.
+    fn remove(&mut self, id: LineId) -> Option<Line> {
+        let line = self.lines.remove(&id)?;
+        line.spare.map(|at| self.spare.remove(&(at, id)));
+        if let Some(peer) = self.peers.get_mut(&line.machine) {
+            peer.lines.remove(&id);
+        }
+        self.reckon(line.machine);
+        Some(line)
+    }
+
+    /// Finds out anew which connections to a machine are spare: idle, and not the one sound connection to a
+    /// machine that holds a task of ours. Follows whatever may have changed that.
+    fn reckon(&mut self, machine: MachineId) {
+        let Some(peer) = self.peers.get(&machine) else { return };
+        let sound = |lines: &BTreeMap<LineId, Line>, id| lines.get(id).is_some_and(Line::sound);
+        let all = peer.lines.iter().filter(|id| sound(&self.lines, id)).count();
+        for &id in &peer.lines {
+            let Some(line) = self.lines.get_mut(&id) else { continue };
+            let needed = peer.holds > 0 && all - usize::from(line.sound()) == 0;
+            let spare = (line.idle() && !needed).then(|| micros(line.used_at));
+            if spare != line.spare {
+                line.spare.map(|at| self.spare.remove(&(at, id)));
+                self.spare.extend(spare.map(|at| (at, id)));
+                line.spare = spare;
+            }
+        }
+    }
+
+    /// The open connections to a machine.
+    fn to(&self, machine: MachineId) -> impl Iterator<Item = (LineId, &Line)> {
+        let lines = self.peers.get(&machine).into_iter().flat_map(|peer| &peer.lines);
+        lines.filter_map(|&id| Some((id, self.lines.get(&id)?)))
+    }
+
     /// Ends a connection that is not needed any more, without losing what is on its way here.
     fn finish(&mut self, now: Seconds, id: LineId, out: &mut Vec<LineAction>) {
-        let Some(line) = self.lines.remove(&id) else { return };
+        let Some(line) = self.remove(id) else { return };
         if line.dialled.is_some() {
             return out.push(LineAction::Close(id));
         }
@@ -170,9 +213,11 @@
 
     /// A machine that has gone and at whose address another listens now is no more.
     pub fn taken_over(&mut self, news: &mut Vec<News>) {
-        let taken = |at: &str| self.peers.values().any(|peer| !peer.gone && peer.address == at);
-        let over = self.peers.iter().filter(|(_, peer)| peer.gone && !peer.address.is_empty());
-        let over: Vec<MachineId> = over.filter(|(_, peer)| taken(&peer.address)).map(|(&id, _)| id).collect();
+        let (gone, here): (Vec<_>, Vec<_>) = self.peers.iter().partition(|(_, peer)| peer.gone);
+        let here: BTreeSet<&str> = here.into_iter().map(|(_, peer)| peer.address.as_str()).collect();
+        let over = gone.into_iter().filter(|(_, peer)| !peer.address.is_empty());
+        let over: Vec<MachineId> =
+            over.filter(|(_, peer)| here.contains(peer.address.as_str())).map(|(&id, _)| id).collect();
         for id in over {
             if let Some(peer) = self.peers.get_mut(&id) {
                 peer.address.clear();
@@ -201,16 +246,18 @@
         } else {
             peer.holds = peer.holds.saturating_sub(1);
         }
+        if peer.holds <= 1 {
+            self.reckon(machine);
+        }
     }
 
     fn dial(&mut self, now: Seconds, machine: MachineId, out: &mut Vec<LineAction>) -> Option<LineId> {
         let address = self.peers.get(&machine).map(|peer| peer.address.clone()).filter(|a| !a.is_empty())?;
         if self.count() >= self.most {
-            let idle = self.lines.iter().filter(|(id, line)| line.idle() && !self.needed(**id, line));
-            let idle = idle.min_by(|a, b| a.1.used_at.total_cmp(&b.1.used_at)).map(|(&id, _)| id);
+            let idle = self.spare.first().map(|&(_, id)| id);
             let spare = self.finishing.first_key_value().map(|(&id, _)| id).or(idle)?;
             self.finishing.remove(&spare);
-            self.lines.remove(&spare);
+            self.remove(spare);
             out.push(LineAction::Close(spare));
         }
         self.next += 1;
@@ -224,17 +271,13 @@
             heard_at: now,
             used_at: now,
             tested_at: None,
+            spare: None,
         };
         self.lines.insert(line, made);
+        self.peers.get_mut(&machine)?.lines.insert(line);
         Some(line)
     }
 
-    /// Whether it is the one connection to a machine that holds a task of ours.
-    fn needed(&self, id: LineId, line: &Line) -> bool {
-        self.peers.get(&line.machine).is_some_and(|peer| peer.holds > 0)
-            && !self.lines.iter().any(|(&other, o)| other != id && o.machine == line.machine && o.sound())
-    }
-
     /// Sends a set-up to a machine; `None`: there is no way to it, and nothing left.
     pub fn offer(
         &mut self,
@@ -244,25 +287,16 @@
         bytes: Vec<u8>,
         out: &mut Vec<LineAction>,
     ) -> Option<LineId> {
-        let fresh = self.lines.iter_mut().filter(|(_, line)| {
-            line.machine == machine && line.idle() && line.sound() && now - line.heard_at < FRESH
-        });
-        if let Some((&at, line)) = fresh.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)) {
-            line.offers.push(id);
-            line.used_at = now;
-            out.push(LineAction::Offer(at, id, bytes));
-            return Some(at);
-        }
-        if let Some(at) = self.dial(now, machine, out) {
-            let line = self.lines.get_mut(&at)?;
-            line.offers.push(id);
-            line.waiting.push((id, bytes));
-            return Some(at);
-        }
-        // No room for another connection: share the one with the least on it.
-        let shared =
-            self.lines.iter_mut().filter(|(_, line)| line.machine == machine && line.tested_at.is_none());
-        let (&at, line) = shared.min_by_key(|(_, line)| line.offers.len())?;
+        let fresh = self.to(machine).filter(|(_, line)| line.idle() && line.sound());
+        let fresh = fresh.filter(|(_, line)| now - line.heard_at < FRESH);
+        let fresh = fresh.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(at, _)| at);
+        // Where there is no room for another connection, the one with the least on it is shared.
+        let shared = |lines: &Self| {
+            let shared = lines.to(machine).filter(|(_, line)| line.tested_at.is_none());
+            shared.min_by_key(|(_, line)| line.offers.len()).map(|(at, _)| at)
+        };
+        let at = fresh.or_else(|| self.dial(now, machine, out)).or_else(|| shared(self))?;
+        let line = self.lines.get_mut(&at)?;
         line.offers.push(id);
         line.used_at = now;
         if line.dialled.is_some() {
@@ -270,16 +304,18 @@
         } else {
             out.push(LineAction::Offer(at, id, bytes));
         }
+        self.reckon(machine);
         Some(at)
     }
 
     /// Tells a machine something about a task that stands there, now or once there is a connection.
     pub fn tell(&mut self, now: Seconds, machine: MachineId, bytes: Vec<u8>, out: &mut Vec<LineAction>) {
-        let sound = self.lines.iter_mut().filter(|(_, line)| line.machine == machine && line.sound());
-        if let Some((&at, line)) = sound.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)) {
+        let sound = self.to(machine).filter(|(_, line)| line.sound());
+        let sound = sound.max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(at, _)| at);
+        if let Some((at, line)) = sound.and_then(|at| Some((at, self.lines.get_mut(&at)?))) {
             line.used_at = now;
             out.push(LineAction::Write(at, bytes));
-            return;
+            return self.reckon(machine);
         }
         let Some(peer) = self.peers.get_mut(&machine) else { return };
         if peer.queue.len() >= QUEUE_MOST {
@@ -292,6 +328,8 @@
     pub fn settled(&mut self, line: LineId, id: Id) {
         if let Some(line) = self.lines.get_mut(&line) {
             line.offers.retain(|&offer| offer != id);
+            let machine = line.machine;
+            self.reckon(machine);
         }
     }
 
@@ -304,9 +342,11 @@
         if at.dialled.is_none() {
             out.push(LineAction::Write(line, Message::release(id, cause::NORMAL).bytes()));
         }
+        let machine = at.machine;
         if at.offers.is_empty() && (suspect || at.dialled.is_some()) {
             self.finish(now, line, out);
         }
+        self.reckon(machine);
     }
 
     /// A connection is made.
@@ -315,21 +355,27 @@
         (line.dialled, line.heard_at) = (None, now);
         let waiting = std::mem::take(&mut line.waiting);
         out.extend(waiting.into_iter().map(|(offer, bytes)| LineAction::Offer(id, offer, bytes)));
-        if let Some(peer) = self.peers.get_mut(&line.machine) {
+        let machine = line.machine;
+        if let Some(peer) = self.peers.get_mut(&machine) {
             (peer.fails, peer.refused, peer.heard_at) = (0, 0, now);
             while let Some(bytes) = peer.queue.pop_front() {
                 out.push(LineAction::Write(id, bytes));
             }
         }
+        self.reckon(machine);
     }
 
     /// Something whole was read.
     pub fn heard(&mut self, now: Seconds, id: LineId) {
         let Some(line) = self.lines.get_mut(&id) else { return };
-        (line.heard_at, line.tested_at) = (now, None);
-        if let Some(peer) = self.peers.get_mut(&line.machine) {
+        let (machine, tested) = (line.machine, line.tested_at.take());
+        line.heard_at = now;
+        if let Some(peer) = self.peers.get_mut(&machine) {
             peer.heard_at = now;
         }
+        if tested.is_some() {
+            self.reckon(machine);
+        }
     }
 
     /// A connection ended, or could not be made.
@@ -341,7 +387,7 @@
         if unwritten.is_none() {
             self.finishing.remove(&id);
         }
-        let Some(line) = self.lines.remove(&id) else { return };
+        let Some(line) = self.remove(id) else { return };
         let dialling = line.dialled.is_some();
         if unwritten.is_some() {
             // What the machine wrote before it ended the connection may still be there to read.
@@ -351,9 +397,8 @@
         let never_left = |offer: Id| dialling || unwritten == Some(Some(offer));
         let told = |offer: Id| if never_left(offer) { News::Unsent(offer) } else { News::Broken(offer) };
         news.extend(line.offers.into_iter().map(told));
-        let alive = self.lines.values().any(|other| {
-            other.machine == line.machine && other.dialled.is_none() && now - other.heard_at < TEST_AFTER
-        });
+        let heard = |other: &Line| other.dialled.is_none() && now - other.heard_at < TEST_AFTER;
+        let alive = self.to(line.machine).any(|(_, other)| heard(other));
         let Some(peer) = self.peers.get_mut(&line.machine) else { return };
         if dialling {
             peer.fails += 1;
@@ -387,7 +432,7 @@
         let idle: Vec<LineId> = self.lines.iter().filter(|(_, line)| idle(line)).map(|(&id, _)| id).collect();
         for id in idle {
             // One at a time, as of two idle ones to a machine one may be needed.
-            if self.lines.get(&id).is_some_and(|line| !self.needed(id, line)) {
+            if self.lines.get(&id).is_some_and(|line| line.spare.is_some()) {
                 self.finish(now, id, out);
             }
         }
@@ -403,31 +448,28 @@
         for machine in wanted {
             self.keep(now, machine, out, news);
         }
-        let used: BTreeSet<MachineId> = self.lines.values().map(|l| l.machine).collect();
-        self.peers.retain(|id, peer| !peer.gone || peer.holds > 0 || used.contains(id));
+        self.peers.retain(|_, peer| !peer.gone || peer.holds > 0 || !peer.lines.is_empty());
     }
 
     /// Keeps one connection to a machine that holds a task of ours, and finds out whether it lives.
     fn keep(&mut self, now: Seconds, machine: MachineId, out: &mut Vec<LineAction>, news: &mut Vec<News>) {
-        let dialling = self.lines.values().any(|line| line.machine == machine && line.dialled.is_some());
+        let dialling = self.to(machine).any(|(_, line)| line.dialled.is_some());
         let Some(peer) = self.peers.get(&machine) else { return };
         if peer.holds > 0 && now - peer.heard_at > LOST_AFTER && peer.fails >= 2 {
             news.push(News::Lost(machine));
             return;
         }
         let (silent_for, redial_at) = (now - peer.heard_at, peer.redial_at);
-        let mut open: Vec<(&LineId, &mut Line)> = self
-            .lines
-            .iter_mut()
-            .filter(|(_, line)| line.machine == machine && line.dialled.is_none())
-            .collect();
-        open.sort_by(|a, b| b.1.heard_at.total_cmp(&a.1.heard_at));
-        let tested = open.iter().any(|(_, line)| line.tested_at.is_some());
-        let suspect = open.is_empty() || silent_for > TEST_AFTER + TEST_FOR;
-        if let Some((id, line)) = open.first_mut().filter(|_| !tested && silent_for > TEST_AFTER) {
+        let open = || self.to(machine).filter(|(_, line)| line.dialled.is_none());
+        let tested = open().any(|(_, line)| line.tested_at.is_some());
+        let newest = open().max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(id, _)| id);
+        let suspect = newest.is_none() || silent_for > TEST_AFTER + TEST_FOR;
+        let silent = newest.filter(|_| !tested && silent_for > TEST_AFTER);
+        if let Some((id, line)) = silent.and_then(|id| Some((id, self.lines.get_mut(&id)?))) {
             line.tested_at = Some(now);
             let test = Message::new(Kind::Test, Id(0)).with(code::CAUSE, &[0]);
-            out.push(LineAction::Write(**id, test.bytes()));
+            out.push(LineAction::Write(id, test.bytes()));
+            self.reckon(machine);
         }
         if suspect
             && !dialling
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -1,7 +1,7 @@
 //! All decisions of tidespur. Types, events and actions: `src/interface.rs`.
 //!
 //! The path of a request: `step` takes in what was observed, then `place` takes what waits. `pick` filters
-//! machines by `gate` (the five rules, and what troubles stand against them), narrows these candidates to
+//! machines by `bar` (the five rules, and what troubles stand against them), narrows these candidates to
 //! those that lose least (`loss`: late start, crowding, a machine kept in use), and lets [`dice`] choose
 //! (Xie, Hyytiä, Righter, "Size-Aware Dispatching to Fluid Queues"); `send` offers the task. One that can't
 //! be placed ends in `finish`, or by an event that says it is over.
@@ -10,6 +10,9 @@
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
 
+#[cfg(test)]
+mod plain;
+
 const THRESHOLD: f64 = 6.0; // Dice: backlog plus work under six mean works is short, as in the paper.
 const MARGIN: f64 = 0.15; // Dice: backlogs within this many mean works of the best are alike.
 const SAMPLE: usize = 4; // Dice: longer work looks at this many machines with room.
@@ -235,6 +238,18 @@
     fails: i32,
 }
 
+/// What one look at the tasks that wait has found: all of one moment, in which machines only fill. Guards
+/// against a scheduler that drowns: a walk over all machines for each waiting task costs more than it has.
+#[derive(Debug, Default)]
+struct Look {
+    /// Machines that nothing bars for a class and tenant whatever the task, in order of ids.
+    open: BTreeMap<(usize, usize), Vec<MachineId>>,
+    /// Cores and memory that no machine takes, by class, tenant and, where it counts, service.
+    full: BTreeMap<(usize, usize, ServiceId), Vec<[f64; 2]>>,
+    /// Machines that were looked at, for one task or for many.
+    looked: u64,
+}
+
 /// Decides for one scheduler. It knows what its events told it, nothing else.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -269,6 +284,7 @@
     cold_offers: (Option<f64>, Seconds),
     spare_at: Seconds,
     need: [f64; 2],
+    looked: u64,
 }
 
 /// A pause that doubles with each failure in a row.
@@ -324,6 +340,7 @@
             cold_offers: (None, 0.0),
             spare_at: 0.0,
             need: [0.0; 2],
+            looked: 0,
             settings,
         })
     }
@@ -633,17 +650,30 @@
         job.task.deadline.min(repeats) - LEEWAY
     }
 
-    /// The one gate for one more send of this task to this machine.
-    fn gate(&self, now: Seconds, job: &Job, id: MachineId, machine: &Machine) -> bool {
-        let open = job.state == State::Held && now < self.may_send_until(job);
-        open && self.bar(now, job, id, machine).is_none()
-    }
-
     /// What bars a task from a machine: the five rules, then what troubles and offers stand against it.
     fn bar(&self, now: Seconds, job: &Job, id: MachineId, machine: &Machine) -> Option<Bar> {
-        let class = &self.settings.classes[job.task.class];
+        let bars = [self.bar_of_all(now, &job.task, machine), self.bar_of_own(job, id, machine)];
+        bars.into_iter().flatten().min_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal))
+    }
+
+    /// What bars all tasks of its class and tenant alike.
+    fn bar_of_all(&self, now: Seconds, task: &Task, machine: &Machine) -> Option<Bar> {
+        let class = &self.settings.classes[task.class];
         let kind = machine.entry.as_ref().map(|entry| entry.kind);
         let standing = machine.entry.as_ref().map(|entry| entry.standing);
+        match () {
+            () if !machine.ready() && standing == Some(Standing::Draining) => Some(Bar::Draining),
+            () if !machine.ready() => Some(Bar::Unlisted),
+            () if class.kind.is_some() && class.kind != kind => Some(Bar::Kind),
+            () if !self.bears(now, machine) => Some(Bar::Cold),
+            () if !machine.open(now, (task.class, task.tenant)) => Some(Bar::Aside(machine.aside_until(now))),
+            () => (machine.unanswered() >= LINE).then_some(Bar::Line),
+        }
+    }
+
+    /// What bars this task, by where it may have run and where its service is.
+    fn bar_of_own(&self, job: &Job, id: MachineId, machine: &Machine) -> Option<Bar> {
+        let class = &self.settings.classes[job.task.class];
         let in_group = match (job.may_run, class.effect) {
             (Some((_, first)), Effect::Keyed { group, .. }) => self.same_place(group, id, machine, first),
             _ => true,
@@ -653,20 +683,8 @@
             let near = |other| self.same_place(place, id, machine, other);
             self.spread.range(services).filter(|at| near(at.0.1)).map(|at| at.1).sum::<u32>()
         };
-        let whose = (job.task.class, job.task.tenant);
-        match () {
-            () if !machine.ready() && standing == Some(Standing::Draining) => Some(Bar::Draining),
-            () if !machine.ready() => Some(Bar::Unlisted),
-            () if class.kind.is_some() && class.kind != kind => Some(Bar::Kind),
-            () if !in_group => Some(Bar::Group),
-            () if !self.bears(now, machine) => Some(Bar::Cold),
-            () => {
-                let full = class.spread.filter(|&place| there(place) >= class.spread_most);
-                let aside = || (!machine.open(now, whose)).then(|| Bar::Aside(machine.aside_until(now)));
-                let line = || (machine.unanswered() >= LINE).then_some(Bar::Line);
-                full.map(Bar::Spread).or_else(aside).or_else(line)
-            }
-        }
+        let full = class.spread.filter(|&place| there(place) >= class.spread_most);
+        if in_group { full.map(Bar::Spread) } else { Some(Bar::Group) }
     }
 
     /// Why a task waits: what bars it from each machine, by the predicates that decide. Changes nothing.
@@ -769,15 +787,41 @@
             / side_by_side(0).min(MEMORY_FULL * side_by_side(1)).max(1.0)
     }
 
-    fn pick(&mut self, now: Seconds, id: TaskId) -> Option<MachineId> {
+    /// The machine for one more send of this task, if there is one. Of the tasks that wait only the first of
+    /// a shape walks all machines in a look: while they only fill, what takes none takes none that is larger.
+    fn pick(&mut self, now: Seconds, id: TaskId, look: &mut Look) -> Option<MachineId> {
         let (job, safety) = (&self.jobs[&id], &self.settings.safety);
-        let service = job.task.service;
-        let mut candidates: Vec<(MachineId, &Machine, f64)> = self
-            .machines
-            .iter()
-            .filter(|&(&to, machine)| self.gate(now, job, to, machine))
+        let (service, class) = (job.task.service, &self.settings.classes[job.task.class]);
+        let whose = (job.task.class, job.task.tenant);
+        if job.state != State::Held {
+            return None;
+        }
+        // What finds no place for one that is bound to a group says nothing of others: they may go elsewhere.
+        let bound = job.may_run.is_some() && matches!(class.effect, Effect::Keyed { .. });
+        let shape = (whose.0, whose.1, if class.spread.is_some() { service } else { ServiceId(0) });
+        let asks = [job.task.cores, job.task.memory];
+        let fulls = look.full.get(&shape);
+        if fulls.is_some_and(|fulls| fulls.iter().any(|full| full[0] <= asks[0] && full[1] <= asks[1])) {
+            return None;
+        }
+        let all = look.open.entry(whose).or_insert_with(|| {
+            look.looked += self.machines.len() as u64;
+            let open = |machine: &Machine| self.bar_of_all(now, &job.task, machine).is_none();
+            self.machines.iter().filter(|(_, machine)| open(machine)).map(|(&id, _)| id).collect()
+        });
+        look.looked += all.len() as u64;
+        let open = || all.iter().filter_map(|to| Some((*to, self.machines.get(to)?)));
+        let takes = |&(to, machine): &(MachineId, &Machine)| self.bar_of_own(job, to, machine).is_none();
+        if !open().any(|at| self.lacks(&job.task, at.1).is_none() && takes(&at)) {
+            if !bound {
+                look.full.entry(shape).or_default().push(asks);
+            }
+            return None;
+        }
+        let mut candidates: Vec<(MachineId, &Machine, f64)> = open()
+            .filter(takes)
             // Cold machines have no programs, and all schedulers must not choose the same one.
-            .map(|(&to, machine)| {
+            .map(|(to, machine)| {
                 let salt = if cold(machine, safety, now) { id.0.rotate_left(17) ^ self.seed } else { 0 };
                 (to, machine, rank(ServiceId(service.0 ^ salt), to, machine))
             })
@@ -846,22 +890,50 @@
             self.retry_at = f64::INFINITY;
         }
         let classes = &self.settings.classes;
-        held.sort_by(|a, b| {
-            let worth = |id: &TaskId| self.jobs.get(id).map_or(0.0, |job| classes[job.task.class].worth);
-            worth(b).total_cmp(&worth(a)).then(a.cmp(b))
-        });
-        for id in held {
+        let worth = |id: &TaskId| self.jobs.get(id).map_or(0.0, |job| classes[job.task.class].worth);
+        let mut held: Vec<(f64, TaskId)> = held.into_iter().map(|id| (worth(&id), id)).collect();
+        held.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let mut look = Look::default();
+        for (_, id) in held {
             let Some(job) = self.jobs.get(&id) else { continue };
             if now >= self.may_send_until(job) {
                 self.finish(id, out);
-            } else if let Some(machine) = self.pick(now, id) {
+                continue;
+            }
+            #[cfg(test)]
+            let plain = self.plain(now, id);
+            let picked = self.pick(now, id, &mut look);
+            #[cfg(test)]
+            assert_eq!((picked, &self.rng), (plain.0, &plain.1));
+            if let Some(machine) = picked {
                 self.send(now, id, machine, out);
+                self.look_again(now, machine, &mut look);
             } else {
                 let pause = AGAIN * (1.0 + self.held.len() as f64 / CROWDED); // Each look costs CPU.
                 self.retry_at = self.retry_at.min(now + pause).min(self.jobs[&id].task.deadline - LEEWAY);
                 self.held.push(id);
             }
         }
+        self.looked += look.looked;
+    }
+
+    /// After a send: what it bars from now on.
+    fn look_again(&mut self, now: Seconds, to: MachineId, look: &mut Look) {
+        let Some(machine) = self.machines.get(&to) else { return };
+        if cold(machine, &self.settings.safety, now) {
+            return look.open.clear(); // It spent of what all cold machines bear.
+        }
+        for (&(class, tenant), open) in &mut look.open {
+            let task = Task { class, tenant, ..Task::default() };
+            if self.bar_of_all(now, &task, machine).is_some() {
+                open.retain(|&id| id != to);
+            }
+        }
+    }
+
+    /// Machines that were looked at so far, for one task or for many: the work of choosing.
+    pub fn looked(&self) -> u64 {
+        self.looked
     }
 
     fn send(&mut self, now: Seconds, id: TaskId, to: MachineId, out: &mut Vec<Action>) {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -20,7 +20,7 @@
 pub struct ServiceId(pub u64);
 
 /// The machines that a group or a spread rule speaks of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
 pub enum Place {
     /// All machines together.
     All,
@@ -446,8 +446,9 @@
     Log(String),
 }
 
-/// What keeps a task from one machine. Amounts are those of the moment of the question.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// What keeps a task from one machine. Amounts are those of the moment of the question. Of several the first
+/// in this order is told.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub enum Bar {
     /// The list does not show it, or shows it as gone.
     Unlisted,
