--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -320,7 +320,7 @@
         };
         // From here on it is this task that reads the connection: it is no more ended with the dial.
         match self.lines.borrow_mut().remove(&line) {
-            Some(Line::Dialled(dial)) => drop(dial),
+            Some(Line::Dialled(dial)) => dial.detach(),
             _ => return,
         }
         let socket = match made {
