A loop that is behind its work turns new work away, least worth first

Need: late means more work (time-outs, dials, owners that come again); a burst must not keep a scheduler drowned.

`pressure`, without I/O: told how late a loop comes to what is due, it sheds new work while the least lateness of a window is above a fifth of the shortest aim, and less again below a twentieth (after CoDel). The door refuses at once (42), an edge answers 429, a planner refuses; what was taken is never touched. The platform's loop measures by a timer, edge and planner by the time that a mark spends in their queue.

recover.rs plays a zone's loss at full size over the door with a model of processor time by work counted: 400 machines, 140 lost with all 300 tasks there, 720 owners that come again, a seventh of a core. All ends are told within 1 s, 600 wait without the loop falling behind, and 4 s after there is room all is worked off and the loop idle. Another test starts the program as `run` does and counts its sockets: one listener, no datagram, no child.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -30,6 +30,8 @@
     Nodes(Vec<Object>),
     /// A Node as it stands, or (true) as it last stood.
     Node(Object, bool),
+    /// This was put into the queue of inputs at that time: how far the edge is behind its work.
+    Sent(f64),
 }
 
 /// Ended Pods that are kept.
@@ -145,6 +147,7 @@
                 Input::Said(id, message) => desk_events.push(desk::Event::Said(id, message)),
                 Input::Nodes(list) => nodes_whole(list, store, now),
                 Input::Node(node, deleted) => node_change(node, deleted, store, now),
+                Input::Sent(_) => {}
             }
         }
         self.waits.look(now, &self.desk, &self.known, store, &mut self.events);
--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -12,6 +12,7 @@
 use tidespur_api::status::Cause;
 use tidespur_api::{ApiError, Object, Resource, meta, names};
 use tidespur_net::{Client, NetError, Recorder};
+use tidespur_pressure::Pressure;
 use tidespur_rest::{DeleteOptions, Hooks, Seen, Verb};
 use tidespur_store::{Expect, Store};
 use tidespur_waiting::{Code, Held, Ledger, Record};
@@ -29,6 +30,15 @@
     pub(crate) recorder: Recorder,
     pub(crate) ledger: Arc<Mutex<Ledger>>,
     pub(crate) behind: AtomicU64,
+    pub(crate) pressure: Mutex<Pressure>,
+}
+
+impl EdgeHooks {
+    /// Whether a new Pod of this class is taken, as far as the edge keeps up with its work.
+    fn keeps_up(&self, class: &str) -> bool {
+        let class = self.classes.iter().position(|name| name == class).unwrap_or(0);
+        lock(&self.pressure).admits(class)
+    }
 }
 
 impl Hooks for EdgeHooks {
@@ -53,6 +63,9 @@
                         format!("{} tasks wait for an answer, which is the most; try again", self.open_most);
                     return Err(ApiError::too_many(text, 1));
                 }
+                if !self.keeps_up(meta::text(object, &["spec", "priorityClassName"])) {
+                    return Err(ApiError::too_many("the edge is behind its work; try again", 1));
+                }
                 // These speak for the Job controller alone.
                 if let Some(annotations) = object["metadata"]["annotations"].as_object_mut() {
                     annotations.remove(names::ADOPTS);
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -3,6 +3,7 @@
 use crate::core::{Core, Input};
 use crate::desk::PlannerId;
 use crate::hooks::EdgeHooks;
+use crate::waits::lock;
 use async_channel::{Receiver, Sender};
 use serde_json::json;
 use smol::net::{TcpListener, TcpStream};
@@ -15,6 +16,7 @@
 use tidespur_link::{ToEdge, ToPlanner};
 use tidespur_net::follow::{Followed, follow};
 use tidespur_net::{Client, Recorder, clock, frames, server};
+use tidespur_pressure::Pressure;
 use tidespur_rest::{Api, Limits, Served};
 use tidespur_store::Store;
 
@@ -50,6 +52,8 @@
 const STEP_MOST: usize = 512;
 /// Silence after which the register's watch counts as lost.
 const SILENCE: f64 = 1.6;
+/// How far the edge is behind its work is measured this often.
+const MARK: f64 = 0.1;
 
 struct Loop {
     config: Config,
@@ -99,6 +103,7 @@
         recorder: recorder.clone(),
         ledger: core.ledger(),
         behind: AtomicU64::new(0),
+        pressure: Mutex::new(Pressure::of(config.class.values().map(|class| (class.aim, class.worth)))),
     };
     let limits = Limits {
         body: config.edge.body_most as usize,
@@ -121,6 +126,7 @@
     });
     smol::spawn(this.clone().accept(link_listener)).detach();
     smol::spawn(this.clone().follow_register()).detach();
+    smol::spawn(this.clone().mark()).detach();
     smol::spawn(async move { server::serve(api_listener, served, Arc::new(Served(api))).await }).detach();
     tracing::info!(edge = this.options.name, api = api_address, link = link_address, "started");
     ready(&api_address, &link_address);
@@ -141,6 +147,12 @@
                 let Ok(input) = inputs.try_recv() else { break };
                 batch.push(input);
             }
+            for input in &batch {
+                if let Input::Sent(at) = input {
+                    let now = clock::now();
+                    lock(&self.api.hooks.pressure).mark(now, now - at);
+                }
+            }
             let mut out = Vec::new();
             let mut store = self.api.store();
             let version = store.version();
@@ -166,6 +178,13 @@
         }
     }
 
+    /// Measures how far the edge is behind its work.
+    async fn mark(self: Arc<Self>) {
+        while self.inputs.send(Input::Sent(clock::now())).await.is_ok() {
+            clock::sleep(MARK).await;
+        }
+    }
+
     async fn accept(self: Arc<Self>, listener: TcpListener) {
         let mut next: PlannerId = 0;
         loop {
--- a/crates/edge/src/waits.rs
+++ b/crates/edge/src/waits.rs
@@ -22,9 +22,9 @@
     events: BTreeMap<String, String>,
 }
 
-/// The ledger under its lock; each change of it is one call, so a panic leaves none half made.
-pub(crate) fn lock(ledger: &Mutex<Ledger>) -> MutexGuard<'_, Ledger> {
-    ledger.lock().unwrap_or_else(PoisonError::into_inner)
+/// What is under a lock; each change of it is one call, so a panic leaves none half made.
+pub(crate) fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Waits {
--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -14,6 +14,7 @@
 use tidespur_policy::interface::{
     Action, Effect, Ending, Event, Report, SettingsError, Standing as Listing, Task, TaskId,
 };
+use tidespur_pressure::Pressure;
 
 /// What the planner is told.
 #[derive(Clone, Debug)]
@@ -49,6 +50,8 @@
     Probed(String, Option<Report>),
     /// A timer of the policy is due.
     Timer(u64),
+    /// This was put into the queue of inputs at that time: how far the planner is behind its work.
+    Sent(f64),
     /// Time has passed; due at least every quarter second.
     Tick,
 }
@@ -105,6 +108,8 @@
     Log(String),
 }
 
+/// What is turned away as the planner is behind is asked to stay away for so long.
+const SHED_FOR: f64 = 1.0;
 /// Questions about tasks wait so long for a word from every node.
 const LOCATE_FOR: f64 = 1.5;
 
@@ -134,6 +139,7 @@
     waits: Waits,
     /// Requests of which nothing may run any more: what turns up of them at a node is deleted. Bounded.
     unwanted: BTreeMap<String, f64>,
+    pressure: Pressure,
 }
 
 /// What is unwanted is remembered for this long: far longer than an offer can be on its way.
@@ -149,6 +155,7 @@
     pub fn new(config: Config, ordinal: usize, zone: &str, seed: u64) -> Result<Self, SettingsError> {
         let settings = config.policy(ordinal, words::place(zone));
         let guarded = settings.classes.iter().map(|c| c.effect != Effect::Safe).collect();
+        let pressure = Pressure::of(settings.classes.iter().map(|class| (class.aim, class.worth)));
         Ok(Self {
             scheduler: Scheduler::new(settings, seed)?,
             config,
@@ -162,6 +169,7 @@
             stepped_at: f64::INFINITY,
             waits: Waits::default(),
             unwanted: BTreeMap::new(),
+            pressure,
         })
     }
 
@@ -294,6 +302,7 @@
                 events.push(Event::Probed { machine: words::machine(&node), report })
             }
             Input::Timer(token) => events.push(Event::Timer(token)),
+            Input::Sent(at) => self.pressure.mark(now, now - at),
             Input::Tick => {}
         }
     }
@@ -337,6 +346,10 @@
                 Err(why) => {
                     out.push(Output::Edge(edge, ToEdge::Refused { uid: ask.uid, why, retry_in: 0.0 }))
                 }
+                Ok(task) if !self.pressure.admits(task.class) => {
+                    let why = "the planner is behind its work; ask again".to_owned();
+                    out.push(Output::Edge(edge, ToEdge::Refused { uid: ask.uid, why, retry_in: SHED_FOR }));
+                }
                 Ok(_) => {
                     out.push(Output::Edge(edge, ToEdge::Taken { uid: ask.uid.clone() }));
                     if self.book.id(&ask.uid).is_none() {
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -48,6 +48,8 @@
 
 /// Inputs that may wait for the core.
 const INPUTS_MOST: usize = 16_384;
+/// How far the planner is behind its work is measured this often.
+const MARK: f64 = 0.1;
 /// Heads of watches must be there within this.
 const HEAD_WITHIN: f64 = 2.0;
 /// A node or the register silent for this long has lost its watch; both tell every half second that they live.
@@ -92,6 +94,13 @@
         let this = this.clone();
         smol::spawn(async move { this.follow_edge(id as EdgeId, &address).await }).detach();
     }
+    let marks = this.inputs.clone();
+    smol::spawn(async move {
+        while marks.send(Input::Sent(clock::now())).await.is_ok() {
+            clock::sleep(MARK).await;
+        }
+    })
+    .detach();
     this.recorder.note("started", || json!({}));
     tracing::info!(planner = this.name, "started");
     this.turn(&mut core, receive).await;
--- a/crates/planner/tests/core.rs
+++ b/crates/planner/tests/core.rs
@@ -333,3 +333,25 @@
         ["z"]
     );
 }
+
+#[test]
+fn a_planner_behind_its_work_turns_new_tasks_away_and_takes_them_again_once_it_is_in_time() {
+    let mut world = World::new(&["n1", "n2"]);
+    let refused = |out: &[Output]| told(out).iter().any(|word| matches!(word, ToEdge::Refused { .. }));
+    let turned_away = |world: &mut World, round: usize| {
+        (0..40).filter(|n| refused(&world.place(&format!("{round}-{n}"), "termin-web"))).count()
+    };
+    assert_eq!(turned_away(&mut world, 0), 0);
+    // Every word waits longer and longer in its queue.
+    for n in 0..80 {
+        world.now += 0.1;
+        let sent = world.now - 1.0 - 0.1 * f64::from(n);
+        world.step(vec![Input::Sent(sent)]);
+    }
+    assert!(turned_away(&mut world, 1) > 20);
+    for _ in 0..120 {
+        world.now += 0.1;
+        world.step(vec![Input::Sent(world.now)]);
+    }
+    assert_eq!(turned_away(&mut world, 2), 0);
+}
--- a/crates/planner/tests/platform.rs
+++ b/crates/planner/tests/platform.rs
@@ -323,3 +323,52 @@
         std::thread::sleep(Duration::from_millis(10));
     }
 }
+
+/// Sockets of a process by kind, with state and local address, from the system's own tables.
+fn sockets(pid: u32) -> Vec<(&'static str, String, String)> {
+    let link = |entry: std::fs::DirEntry| std::fs::read_link(entry.path()).ok();
+    let own: Vec<String> = std::fs::read_dir(format!("/proc/{pid}/fd"))
+        .unwrap()
+        .flatten()
+        .filter_map(link)
+        .filter_map(|to| Some(to.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
+        .collect();
+    let mut all = Vec::new();
+    for kind in ["tcp", "tcp6", "udp", "udp6", "raw", "unix"] {
+        let table = std::fs::read_to_string(format!("/proc/{pid}/net/{kind}")).unwrap_or_default();
+        for line in table.lines().skip(1) {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            let (at, state, inode) = if kind == "unix" { (7, 5, 6) } else { (1, 3, 9) };
+            if fields.get(inode).is_some_and(|inode| own.iter().any(|own| own == inode)) {
+                let field = |n: usize| fields.get(n).copied().unwrap_or("").to_owned();
+                all.push((kind, field(state), field(at)));
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn it_is_one_process_with_one_listener_and_no_way_to_talk_but_the_platforms() {
+    let ((board_in, board_at), (machine, machine_at)) = (listen(), listen());
+    let scheduler = Scheduler::start("alone", board_at, &event(1, true, "s-1", machine_at));
+    let mut owner = scheduler.connect();
+    let _board = board(&board_in);
+    let _offer = placed(&mut owner, &machine);
+    let pid = scheduler.child.id();
+    let children = std::fs::read_to_string(format!("/proc/{pid}/task/{pid}/children")).unwrap_or_default();
+    assert_eq!(children.trim(), "", "it starts no other program");
+    let sockets = sockets(pid);
+    // 0A is a listener. Named Unix sockets would be a way in; a pair without a name wakes the loop at a signal.
+    let listeners = sockets.iter().filter(|(kind, state, _)| kind.starts_with("tcp") && state == "0A");
+    assert_eq!(listeners.count(), 1, "{sockets:?}");
+    let others = sockets.iter().filter(|(kind, _, name)| match *kind {
+        "tcp" => false,
+        "unix" => !name.is_empty(),
+        _ => true,
+    });
+    assert_eq!(others.count(), 0, "{sockets:?}");
+    // Its listener, the board, the machine, the owner; nobody else is connected or dialled.
+    let tcp = sockets.iter().filter(|(kind, ..)| *kind == "tcp").count();
+    assert_eq!(tcp, 4, "{sockets:?}");
+}
--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -24,6 +24,8 @@
 const SHORT: f64 = 0.02;
 /// A message must be whole this long after its first byte. Guards against clients that send a part and stay.
 const HALF_FOR: f64 = 2.0;
+/// How far the loop is behind is measured this often.
+const MARK: f64 = 0.05;
 /// A configuration that can't be read is read again after this, so many times.
 const REREAD: f64 = 0.1;
 const REREADS: u32 = 50;
@@ -93,6 +95,7 @@
         let listener = Async::<TcpListener>::bind(address).map_err(|e| format!("{address}: {e}"))?;
         tracing::info!(scheduler = this.name, %address, sockets = config.sockets, "started");
         this.spawn(this.clone().turns());
+        this.spawn(this.clone().mark());
         this.spawn(this.clone().listen(listener));
         this.spawn(this.clone().signals(signals));
         this.follow();
@@ -144,7 +147,7 @@
     async fn turns(self: Rc<Self>) {
         while self.came.1.recv().await.is_ok() {
             while !self.turn.borrow().is_empty() {
-                let mut inputs = self.turn.borrow_mut().next();
+                let mut inputs = self.turn.borrow_mut().take();
                 // A connection that ended meanwhile from here has been told already.
                 inputs.retain(|input| match input {
                     Input::ClientClosed(client) => self.client_over(*client),
@@ -157,6 +160,16 @@
         }
     }
 
+    /// Measures how far the loop is behind: a timer comes to its turn as late as a message that came when it was
+    /// due, as both wait for the reactor and for all that was woken before them.
+    async fn mark(self: Rc<Self>) {
+        loop {
+            let due = clock::now() + MARK;
+            clock::sleep(MARK).await;
+            self.put(Input::Behind(clock::now() - due));
+        }
+    }
+
     /// Waits until what was put in is taken: until then no more is read from that connection.
     async fn taken(&self, ticket: Ticket) {
         while !self.turn.borrow().taken(ticket) {
@@ -347,7 +360,7 @@
                 (true, true) => half_since.or_else(|| Some(clock::now())),
                 (true, false) => Some(clock::now()),
             };
-            if let Some(ticket) = inputs.into_iter().map(|input| self.put(input)).last() {
+            if let Some(ticket) = inputs.into_iter().fold(None, |_, input| Some(self.put(input))) {
                 self.taken(ticket).await;
             }
         }
--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -13,6 +13,10 @@
     pub placed: u64,
     /// Refusals.
     pub refused: u64,
+    /// Of these, set-ups turned away as the loop was behind.
+    pub shed: u64,
+    /// The most that the loop was behind so far, in milliseconds.
+    pub behind_most: u64,
     /// Failures.
     pub failed: u64,
     /// Set-ups that their owners gave up, or whose connection ended.
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -11,6 +11,7 @@
 use std::net::IpAddr;
 use tidespur_policy::Scheduler;
 use tidespur_policy::interface::{Action, Ending, Event, MachineId, Report, Seconds, Standing, TaskId, Why};
+use tidespur_pressure::Pressure;
 use tidespur_settings::Site;
 
 /// Set-ups without an answer on one connection; more are refused at once.
@@ -75,6 +76,8 @@
     Noticed(Notice),
     /// The program is to end.
     Leave,
+    /// Something that was due so many seconds ago is taken in only now: the loop is behind.
+    Behind(Seconds),
     /// Time goes on.
     Tick,
 }
@@ -109,6 +112,7 @@
     owed: VecDeque<(Option<IpAddr>, Vec<u8>)>,
     leaving: Option<Seconds>,
     ticked: Seconds,
+    pressure: Pressure,
     counts: Counts,
 }
 
@@ -119,6 +123,7 @@
     /// Settings that the policy can't work with.
     pub fn new(site: Site, limits: Limits, seed: u64) -> Result<Self, String> {
         let policy = Scheduler::new(site.settings.clone(), seed).map_err(|e| e.to_string())?;
+        let pressure = Pressure::of(site.settings.classes.iter().map(|class| (class.aim, class.worth)));
         Ok(Self {
             policy,
             desk: Desk::default(),
@@ -131,6 +136,7 @@
             owed: VecDeque::new(),
             leaving: None,
             ticked: 0.0,
+            pressure,
             counts: Counts::default(),
             site,
         })
@@ -146,6 +152,11 @@
         &self.site
     }
 
+    /// Machines, and connections to them, that were looked at so far: the work of choosing.
+    pub fn looked(&self) -> [u64; 2] {
+        [self.policy.looked(), self.lines.looked()]
+    }
+
     /// What was done so far.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -213,6 +224,10 @@
             Input::LineSaid(line, message) => self.line_said(now, line, &message, out),
             Input::Noticed(notice) => self.notice(now, notice, out),
             Input::Leave => self.leaving = self.leaving.or(Some(now)),
+            Input::Behind(late) => {
+                self.counts.behind_most = self.counts.behind_most.max((late * 1e3) as u64);
+                self.pressure.mark(now, late);
+            }
             Input::Tick => {}
         }
     }
@@ -372,9 +387,12 @@
             self.events.push(Event::InPlace(ask.task, machine));
             return;
         }
-        if self.clients.open(client) >= OPEN_MOST || self.desk.waiting() >= OPEN_MOST_ALL {
+        let shed = !self.pressure.admits(ask.task.class);
+        self.counts.shed += u64::from(shed);
+        if shed || self.clients.open(client) >= OPEN_MOST || self.desk.waiting() >= OPEN_MOST_ALL {
             // It never reached the policy: asking again does no harm.
             self.counts.refused += 1;
+            self.clients.proves(now, client);
             out.push(Output::Client(client, Message::release(id, cause::CONGESTED).bytes()));
             return;
         }
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -7,6 +7,7 @@
 use crate::LineId;
 use crate::desk::micros;
 use crate::message::{Id, Kind, Message, cause, code};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tidespur_policy::interface::{MachineId, Seconds};
 
@@ -118,6 +119,8 @@
     lines: BTreeMap<LineId, Line>,
     /// Idle connections that are not needed, in order of use: found without a walk over all.
     spare: BTreeSet<(u64, LineId)>,
+    /// Connections that were looked at so far.
+    looked: Cell<u64>,
     /// Finished, and not ended by the machine yet: whose, and since when.
     finishing: BTreeMap<LineId, (MachineId, Seconds)>,
     next: u64,
@@ -131,7 +134,7 @@
     pub fn new(most: usize, connect_within: Seconds) -> Self {
         let (peers, lines, finishing) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (spare, most) = (BTreeSet::new(), most.max(2));
-        Self { peers, lines, spare, finishing, next: 0, most, connect_within }
+        Self { peers, lines, spare, looked: Cell::new(0), finishing, next: 0, most, connect_within }
     }
 
     /// The machine at the other end.
@@ -177,7 +180,15 @@
     /// The open connections to a machine.
     fn to(&self, machine: MachineId) -> impl Iterator<Item = (LineId, &Line)> {
         let lines = self.peers.get(&machine).into_iter().flat_map(|peer| &peer.lines);
-        lines.filter_map(|&id| Some((id, self.lines.get(&id)?)))
+        lines.filter_map(|&id| {
+            self.looked.set(self.looked.get() + 1);
+            Some((id, self.lines.get(&id)?))
+        })
+    }
+
+    /// Connections that were looked at so far, to find one.
+    pub fn looked(&self) -> u64 {
+        self.looked.get()
     }
 
     /// Ends a connection that is not needed any more, without losing what is on its way here.
--- a/crates/platform/src/turn.rs
+++ b/crates/platform/src/turn.rs
@@ -50,7 +50,7 @@
     }
 
     /// What the next step takes in: all that is owed, if anything is, else the next of what is asked.
-    pub fn next(&mut self) -> Vec<Input> {
+    pub fn take(&mut self) -> Vec<Input> {
         if !self.owed.is_empty() {
             return std::mem::take(&mut self.owed);
         }
--- /dev/null
+++ b/crates/platform/tests/recover.rs
@@ -0,0 +1,313 @@
+//! A zone's loss at full size, with the time that the scheduler's own work takes: 400 machines, 140 of them lost at
+//! once with all that stood there, owners that come again, a seventh of a core. No sockets, no clock: what a step
+//! costs is counted in machines and connections looked at, messages read and written.
+
+mod common;
+
+use common::*;
+use std::collections::{BTreeMap, BTreeSet};
+use tidespur_platform::lines::LineAction;
+use tidespur_platform::message::{Id, Kind, Message, cause, code};
+use tidespur_platform::turn::Turn;
+use tidespur_platform::{ClientId, Door, Input, Limits, LineId, Output, board};
+use tidespur_settings::Info;
+
+const MACHINES: usize = 400;
+const LOST: usize = 140;
+/// Seconds that one piece of work takes on a seventh of a core: a message in or out with its system call, a machine
+/// looked at, a connection looked at. That of a machine is what was measured at full size: 500 tasks that waited, each
+/// looked at with 400 machines 5.7 times a second, took a seventh of a core.
+const MESSAGE: f64 = 7.0 * 15e-6;
+const LOOK: [f64; 2] = [7.0 * 120e-9, 7.0 * 10e-9];
+/// Connections of owners; one bears 256 set-ups that wait.
+const OWNERS: u64 = 4;
+/// When the zone is lost, and when the others have room again.
+const LOSS: f64 = 1005.0;
+const ROOM: f64 = 1011.0;
+const RTT: f64 = 0.002;
+/// An owner's first pause before it asks again.
+const AGAIN: f64 = 0.5;
+
+#[derive(Clone, Debug)]
+enum What {
+    /// An owner asks; the number counts how often it has.
+    Ask(u32),
+    Input(Input),
+    Loss,
+    Room,
+}
+
+struct World {
+    door: Door,
+    now: f64,
+    events: BTreeMap<(u64, u64), What>,
+    next: u64,
+    turn: Turn,
+    came: BTreeMap<u64, f64>,
+    lines: BTreeMap<LineId, usize>,
+    dead: BTreeSet<usize>,
+    full: bool,
+    /// Where each task stands, and since when it is over.
+    standing: BTreeMap<Id, usize>,
+    over: BTreeMap<Id, f64>,
+    asked: BTreeMap<Id, (f64, u32)>,
+    answered: usize,
+    /// Set-ups that the loop turned away as it was behind: of the class worth less, and of the one worth more.
+    turned_away: [usize; 2],
+    told_late: f64,
+    behind: Vec<(f64, f64)>,
+}
+
+fn whole(number: u64, free: impl Fn(usize) -> f64) -> Input {
+    let entry = |m: usize| {
+        format!(
+            r#"{{"instanceId":"s-{m}","hostPort":"127.0.0.1:{}","zone":"east","machineType":"std","cell":{},
+            "lifecycle":"Ready","weight":1,"startedAtMs":0,"left_over":[{},60]}}"#,
+            m + 1,
+            m / 8,
+            free(m)
+        )
+    };
+    let entries: Vec<String> = (0..MACHINES).map(entry).collect();
+    let text = format!(r#"{{"rev":{number},"pool":{{"reset":true,"instances":[{}]}}}}"#, entries.join(","));
+    Input::Noticed(board::notice(&site(), &text).unwrap())
+}
+
+/// Before the loss there is room in the zone that is lost and none elsewhere.
+fn room_in_the_zone(m: usize) -> f64 {
+    if m < LOST { 20.0 } else { -46.0 }
+}
+
+impl World {
+    fn new() -> Self {
+        let info = INFO.replace(r#""balancers":1"#, r#""balancers":16"#);
+        let site = serde_json::from_str::<Info>(&info).unwrap().site().unwrap();
+        let door = Door::new(site, Limits { clients: 400, lines: 261 }, 7).unwrap();
+        let mut world = Self {
+            door,
+            now: 1000.0,
+            events: BTreeMap::new(),
+            next: 0,
+            turn: Turn::default(),
+            came: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            dead: BTreeSet::new(),
+            full: false,
+            standing: BTreeMap::new(),
+            over: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            answered: 0,
+            turned_away: [0; 2],
+            told_late: 0.0,
+            behind: Vec::new(),
+        };
+        world.after(0.0, What::Input(whole(1, room_in_the_zone)));
+        for n in 1..=OWNERS {
+            world.after(0.0, What::Input(Input::ClientOpened(ClientId(n), address(1))));
+        }
+        world.asks(0.01, 300, 1.0);
+        world.after(LOSS - 1000.0, What::Loss);
+        world.after(ROOM - 1000.0, What::Room);
+        world
+    }
+
+    fn after(&mut self, seconds: f64, what: What) {
+        self.next += 1;
+        self.events.insert((((self.now + seconds) * 1e6) as u64, self.next), what);
+    }
+
+    /// So many owners ask, evenly over so many seconds.
+    fn asks(&mut self, from: f64, many: u32, over: f64) {
+        for n in 0..many {
+            self.after(from + over * f64::from(n) / f64::from(many), What::Ask(0));
+        }
+    }
+
+    fn ask(&mut self, often: u32) {
+        let id = Id(self.next + 1_000);
+        self.next += 1;
+        self.asked.insert(id, (self.now, often));
+        let class = if id.0.is_multiple_of(3) { "slot" } else { "web" };
+        let mut message = set_up(id.0, class);
+        message.parameters.retain(|(c, _)| *c != code::HINT);
+        let owner = ClientId(1 + id.0 % OWNERS);
+        self.put(Input::ClientSaid(owner, message.with(code::HINT, b"60000")));
+    }
+
+    fn put(&mut self, input: Input) {
+        self.came.insert(self.came.last_key_value().map_or(0, |(n, _)| n + 1), self.now);
+        self.turn.put(input);
+    }
+
+    fn happens(&mut self, what: What) {
+        match what {
+            What::Ask(often) => self.ask(often),
+            What::Input(input) => self.put(input),
+            What::Loss => {
+                self.dead = (0..LOST).collect();
+                let lost: Vec<LineId> =
+                    self.lines.iter().filter(|(_, m)| self.dead.contains(m)).map(|(&line, _)| line).collect();
+                for line in lost {
+                    self.lines.remove(&line);
+                    self.put(Input::LineEnded(line));
+                }
+                let now = self.now;
+                let over = self.standing.iter().filter(|(_, m)| self.dead.contains(m));
+                self.over = over.map(|(&id, _)| (id, now)).collect();
+                self.standing.retain(|_, m| !self.dead.contains(m));
+                self.full = true;
+            }
+            What::Room => {
+                self.full = false;
+                self.put(whole(2, |_| 20.0));
+            }
+        }
+    }
+
+    fn owner_hears(&mut self, message: &Message) {
+        let id = message.id;
+        if let Some(since) = self.over.remove(&id) {
+            self.told_late = self.told_late.max(self.now - since);
+            return self.after(0.05, What::Ask(1));
+        }
+        let Some((_, often)) = self.asked.remove(&id) else { return };
+        self.turned_away[usize::from(id.0.is_multiple_of(3))] +=
+            usize::from(message.cause() == Some(cause::CONGESTED));
+        if message.kind == Kind::Answer {
+            self.answered += 1;
+        } else {
+            // Whoever is turned away comes again, after pauses that double.
+            self.after(AGAIN * f64::from(1 << often.min(4)), What::Ask(often + 1));
+        }
+    }
+
+    fn machine_hears(&mut self, line: LineId, message: &Message) {
+        let Some(&m) = self.lines.get(&line) else { return };
+        let id = message.id;
+        let reply = match message.kind {
+            Kind::SetUp if self.full => release(id.0, cause::FULL).with(code::WORD, b"lack_cpu"),
+            Kind::SetUp => {
+                self.standing.insert(id, m);
+                answer(id.0)
+            }
+            Kind::Test => Message::new(Kind::Tested, id).with(code::CAUSE, &[1]),
+            _ => return,
+        };
+        self.after(RTT, What::Input(Input::LineSaid(line, reply)));
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Client(_, bytes) => read(&bytes).iter().for_each(|message| self.owner_hears(message)),
+            Output::Line(LineAction::Dial(line, at)) => {
+                let m = at.rsplit(':').next().and_then(|port| port.parse::<usize>().ok()).unwrap() - 1;
+                if self.dead.contains(&m) {
+                    return self.after(RTT, What::Input(Input::LineRefused(line)));
+                }
+                self.lines.insert(line, m);
+                self.after(RTT, What::Input(Input::LineOpened(line)));
+            }
+            Output::Line(LineAction::Write(line, bytes) | LineAction::Offer(line, _, bytes)) => {
+                read(&bytes).iter().for_each(|message| self.machine_hears(line, message));
+            }
+            Output::Line(LineAction::Finish(line)) => self.after(RTT, What::Input(Input::LineEnded(line))),
+            Output::Line(LineAction::Close(line)) => drop(self.lines.remove(&line)),
+            Output::CloseClient(_) | Output::Log(_) | Output::End => {}
+        }
+    }
+
+    fn play(&mut self, until: f64) {
+        while self.now < until {
+            while let Some(((at, _), _)) = self.events.first_key_value() {
+                if *at as f64 / 1e6 > self.now {
+                    break;
+                }
+                let (_, what) = self.events.pop_first().unwrap();
+                self.happens(what);
+            }
+            let due = self.door.next_wake();
+            let mut inputs = Vec::new();
+            if let Some((_, came)) = self.came.first_key_value() {
+                // As the loop's own timer would tell: what came first is taken in only now.
+                let late = self.now - came;
+                self.behind.push((self.now, late));
+                inputs.push(Input::Behind(late));
+                let taken = self.turn.take();
+                for _ in 0..taken.len() {
+                    self.came.pop_first();
+                }
+                inputs.extend(taken);
+            } else if due <= self.now {
+                self.behind.push((self.now, 0.0));
+                inputs.extend([Input::Behind(0.0), Input::Tick]);
+            } else {
+                let next =
+                    self.events.first_key_value().map_or(f64::INFINITY, |((at, _), _)| *at as f64 / 1e6);
+                self.now = next.min(due).max(self.now + 1e-6).min(until);
+                continue;
+            }
+            let (before, read) = (self.door.looked(), inputs.len());
+            let mut out = Vec::new();
+            self.door.step(self.now, inputs, &mut out);
+            let [machines, lines] = self.door.looked();
+            let looks = LOOK[0] * (machines - before[0]) as f64 + LOOK[1] * (lines - before[1]) as f64;
+            self.now += MESSAGE * read as f64 + looks;
+            for output in out {
+                self.now += MESSAGE;
+                self.carry_out(output);
+            }
+        }
+    }
+
+    fn behind_since(&self, at: f64) -> f64 {
+        self.behind.iter().filter(|(when, _)| *when >= at).map(|(_, late)| *late).fold(0.0, f64::max)
+    }
+}
+
+#[test]
+fn after_a_zones_loss_all_ends_are_told_at_once_and_the_backlog_is_worked_off() {
+    let mut world = World::new();
+    world.play(LOSS - 0.01);
+    assert_eq!(world.standing.len(), 300);
+    // The schedulers of that zone are gone too: their owners come here.
+    world.asks(0.02, 420, 3.0);
+    world.play(ROOM - 0.01);
+    assert!(world.over.is_empty(), "{} ends were never told", world.over.len());
+    assert!(world.told_late < 1.0, "an end was told {} s late", world.told_late);
+    assert!(world.door.sizes()[1] > 600, "{} wait for room", world.door.sizes()[1]);
+    assert!(world.behind_since(LOSS + 2.0) < 0.3, "{} s behind", world.behind_since(LOSS + 2.0));
+    world.play(ROOM + 4.0);
+    assert_eq!((world.door.sizes()[1], world.asked.len()), (0, 0), "all is worked off");
+    assert!(world.behind_since(ROOM + 3.0) < 0.05, "and the loop is idle again");
+}
+
+#[test]
+fn under_more_set_ups_than_it_can_place_it_stays_in_time_and_turns_away_what_is_worth_least() {
+    let mut world = World::new();
+    world.play(LOSS - 1.0);
+    let began = world.now;
+    // Room for all; a quarter more than this loop can place, for eight seconds, and owners that come again.
+    world.dead.clear();
+    world.happens(What::Room);
+    world.events.retain(|_, what| !matches!(what, What::Loss | What::Room));
+    world.turned_away = [0; 2];
+    world.asks(0.0, 13_000, 8.0);
+    world.play(began + 8.0);
+    assert!(world.behind_since(began + 1.0) < 1.0, "{} s behind", world.behind_since(began + 1.0));
+    let [less, more] = world.turned_away;
+    // Two of three are of the class worth less.
+    assert!(less > 3 * more, "{less} and {more} were turned away");
+    assert!(world.answered > 1_500, "{} were placed", world.answered);
+}
+
+#[test]
+fn a_second_in_which_nothing_comes_looks_at_each_machines_own_connections_only() {
+    let mut world = World::new();
+    world.play(LOSS - 2.0);
+    let before = world.door.looked();
+    world.play(LOSS - 1.0);
+    let [machines, lines] = world.door.looked();
+    assert_eq!(machines - before[0], 0, "nothing waits");
+    // Ten ticks, up to 140 machines that hold a task, each with a line or two that are looked at a few times.
+    assert!(world.standing.len() == 300 && lines - before[1] < 12_000, "{} looks", lines - before[1]);
+}
--- a/crates/platform/tests/turn.rs
+++ b/crates/platform/tests/turn.rs
@@ -17,12 +17,12 @@
         turn.put(Input::ClientSaid(OWNER, set_up(id, "web")));
     }
     turn.put(Input::LineSaid(LineId(1), answer(5)));
-    assert!(matches!(turn.next()[..], [Input::LineSaid(..)]));
+    assert!(matches!(turn.take()[..], [Input::LineSaid(..)]));
     // And what comes while the flood is taken in waits for a bounded part of it only.
-    let first = turn.next();
+    let first = turn.take();
     assert!(first.len() < 100 && first.iter().all(is_asked));
     turn.put(Input::LineEnded(LineId(1)));
-    assert!(matches!(turn.next()[..], [Input::LineEnded(_)]));
+    assert!(matches!(turn.take()[..], [Input::LineEnded(_)]));
 }
 
 #[test]
@@ -36,7 +36,7 @@
     let mut seen = Vec::new();
     while !turn.is_empty() {
         assert!(tickets.iter().enumerate().all(|(n, &ticket)| turn.taken(ticket) == (n < seen.len())));
-        seen.extend(turn.next());
+        seen.extend(turn.take());
     }
     let ids = seen.iter().filter_map(|input| match input {
         Input::ClientSaid(_, message) => Some(message.id.0),
