A machine is lost by its silence for 7.4 s, never for want of a connection to it

The logs of all sixteen, "machine ... is lost" by second: 941 at 5 s, 2,068 at 10 s. Both are ours: - At 5 s: 1,000 tasks handed over at 400 machines, 261 connections allowed (a third of 784). Lines::keep counted a dial that had no room as one that failed, and after 5 s of silence called the machine lost. Each scheduler for itself thus ended what ran well at 60 machines. - At 10 s: a zone is cut off for 6 s from 5 s on; LOST_AFTER was 5 s. The platform allows 8 s from the end.

Now: want of room proves nothing; machines without a connection take turns, who was silent longest first, and one that was kept for a second gives way; so it does for an offer, which was called unsent before, and the machine cold. Idle connections that give way are finished, not cut.

Tests: twelve machines and four connections over 40 s, none lost and each visited; a cut of 6 s keeps its tasks, and one that does not end is told within 8 s. They fail without the order, without the turns, and with 5 s.

--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -38,12 +38,13 @@
 }
 
 impl Limits {
-    /// Shares out a limit on descriptors: some for the program itself and the notice board, a third for machines,
-    /// the rest for who comes in.
+    /// Shares out a limit on descriptors: some for the program itself and the notice board; a third for owners, who
+    /// hold no more by the platform's rule, and an eighth for others who come in; the rest for machines, so that as
+    /// many as can be have a connection of their own.
     pub fn of(sockets: usize) -> Self {
         let own = 24.min(sockets / 4);
-        let lines = sockets / 3;
-        Self { lines: lines.max(2), clients: (sockets - own).saturating_sub(lines).max(1) }
+        let clients = sockets / 3 + sockets / 8;
+        Self { lines: (sockets - own).saturating_sub(clients).max(2), clients: clients.max(1) }
     }
 }
 
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -20,8 +20,17 @@
 /// A test without an answer for this long: the connection is given up.
 const TEST_FOR: Seconds = 1.5;
 /// A machine silent for this long that can't be dialled either is lost, and what stood there has ended. The
-/// platform allows 8 s from the end. Harm: one that is only cut off for longer loses its tasks.
-const LOST_AFTER: Seconds = 5.0;
+/// platform allows 8 s from the end, which came after the last word: this leaves time for a late tick. Any sooner, and
+/// a zone that is cut off for some seconds loses all that runs there, at every scheduler. Harm: owners of what stood on
+/// a machine that vanished hear of it so much later.
+const LOST_AFTER: Seconds = 7.4;
+/// Where there is no room for a connection to each machine that holds a task of ours, one without is visited after this
+/// silence, and one that was kept for this long gives way to it. Guards against machines that count as lost only
+/// because nobody could call; costs a handshake a visit.
+const VISIT: Seconds = 2.0;
+const KEPT: Seconds = 1.0;
+/// So many connections may be finished and not ended yet while others take their room.
+const FINISHING_MOST: usize = 8;
 /// Pause between dials that fail.
 const REDIAL: Seconds = 0.25;
 /// An idle connection that is not needed is finished after this.
@@ -81,8 +90,19 @@
     heard_at: Seconds,
     used_at: Seconds,
     tested_at: Option<Seconds>,
-    /// Under which time it stands among the spare ones, if it does.
-    spare: Option<u64>,
+    /// When it came up.
+    opened_at: Seconds,
+    /// How it stands among the idle ones, if it does.
+    rests: Option<(Rest, u64)>,
+}
+
+/// What an idle connection is there for, in the order in which they give way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Rest {
+    /// Nothing: by its last use.
+    Spare,
+    /// The one sound connection to a machine that holds a task of ours: by when it came up.
+    Kept,
 }
 
 impl Line {
@@ -117,8 +137,8 @@
 pub struct Lines {
     peers: BTreeMap<MachineId, Peer>,
     lines: BTreeMap<LineId, Line>,
-    /// Idle connections that are not needed, in order of use: found without a walk over all.
-    spare: BTreeSet<(u64, LineId)>,
+    /// Idle connections in the order in which they give way: found without a walk over all.
+    idle: BTreeSet<(Rest, u64, LineId)>,
     /// Connections that were looked at so far.
     looked: Cell<u64>,
     /// Finished, and not ended by the machine yet: whose, and since when.
@@ -133,8 +153,8 @@
     /// No connections yet; at most `most` at once, each made within `connect_within`.
     pub fn new(most: usize, connect_within: Seconds) -> Self {
         let (peers, lines, finishing) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let (spare, most) = (BTreeSet::new(), most.max(2));
-        Self { peers, lines, spare, looked: Cell::new(0), finishing, next: 0, most, connect_within }
+        let (idle, most) = (BTreeSet::new(), most.max(2));
+        Self { peers, lines, idle, looked: Cell::new(0), finishing, next: 0, most, connect_within }
     }
 
     /// The machine at the other end.
@@ -151,7 +171,7 @@
     /// Takes a connection out.
     fn remove(&mut self, id: LineId) -> Option<Line> {
         let line = self.lines.remove(&id)?;
-        line.spare.map(|at| self.spare.remove(&(at, id)));
+        line.rests.map(|(rest, at)| self.idle.remove(&(rest, at, id)));
         if let Some(peer) = self.peers.get_mut(&line.machine) {
             peer.lines.remove(&id);
         }
@@ -159,8 +179,7 @@
         Some(line)
     }
 
-    /// Finds out anew which connections to a machine are spare: idle, and not the one sound connection to a
-    /// machine that holds a task of ours. Follows whatever may have changed that.
+    /// Finds out anew how the connections to a machine rest. Follows whatever may have changed that.
     fn reckon(&mut self, machine: MachineId) {
         let Some(peer) = self.peers.get(&machine) else { return };
         let sound = |lines: &BTreeMap<LineId, Line>, id| lines.get(id).is_some_and(Line::sound);
@@ -168,11 +187,15 @@
         for &id in &peer.lines {
             let Some(line) = self.lines.get_mut(&id) else { continue };
             let needed = peer.holds > 0 && all - usize::from(line.sound()) == 0;
-            let spare = (line.idle() && !needed).then(|| micros(line.used_at));
-            if spare != line.spare {
-                line.spare.map(|at| self.spare.remove(&(at, id)));
-                self.spare.extend(spare.map(|at| (at, id)));
-                line.spare = spare;
+            let rests = match needed {
+                _ if !line.idle() => None,
+                false => Some((Rest::Spare, micros(line.used_at))),
+                true => Some((Rest::Kept, micros(line.opened_at))),
+            };
+            if rests != line.rests {
+                line.rests.map(|(rest, at)| self.idle.remove(&(rest, at, id)));
+                self.idle.extend(rests.map(|(rest, at)| (rest, at, id)));
+                line.rests = rests;
             }
         }
     }
@@ -262,14 +285,35 @@
         }
     }
 
-    fn dial(&mut self, now: Seconds, machine: MachineId, out: &mut Vec<LineAction>) -> Option<LineId> {
+    /// Whether a connection has to give way before another can be dialled.
+    fn short(&self) -> bool {
+        self.lines.len() + FINISHING_MOST.min(self.most / 4) >= self.most
+    }
+
+    /// Makes room for one more connection; one that is kept gives way if it came up by `kept`.
+    fn make_room(&mut self, now: Seconds, kept: Seconds, out: &mut Vec<LineAction>) -> bool {
+        if self.short() {
+            let gives = |&&(rest, at, _): &&(Rest, u64, LineId)| rest == Rest::Spare || at <= micros(kept);
+            let Some(&(.., id)) = self.idle.first().filter(gives) else { return self.count() < self.most };
+            self.finish(now, id, out);
+        }
+        while self.count() >= self.most {
+            let Some((id, _)) = self.finishing.pop_first() else { return false };
+            out.push(LineAction::Close(id));
+        }
+        true
+    }
+
+    fn dial(
+        &mut self,
+        now: Seconds,
+        kept: Seconds,
+        machine: MachineId,
+        out: &mut Vec<LineAction>,
+    ) -> Option<LineId> {
         let address = self.peers.get(&machine).map(|peer| peer.address.clone()).filter(|a| !a.is_empty())?;
-        if self.count() >= self.most {
-            let idle = self.spare.first().map(|&(_, id)| id);
-            let spare = self.finishing.first_key_value().map(|(&id, _)| id).or(idle)?;
-            self.finishing.remove(&spare);
-            self.remove(spare);
-            out.push(LineAction::Close(spare));
+        if !self.make_room(now, kept, out) {
+            return None;
         }
         self.next += 1;
         let line = LineId(self.next);
@@ -282,7 +326,8 @@
             heard_at: now,
             used_at: now,
             tested_at: None,
-            spare: None,
+            opened_at: now,
+            rests: None,
         };
         self.lines.insert(line, made);
         self.peers.get_mut(&machine)?.lines.insert(line);
@@ -306,7 +351,7 @@
             let shared = lines.to(machine).filter(|(_, line)| line.tested_at.is_none());
             shared.min_by_key(|(_, line)| line.offers.len()).map(|(at, _)| at)
         };
-        let at = fresh.or_else(|| self.dial(now, machine, out)).or_else(|| shared(self))?;
+        let at = fresh.or_else(|| self.dial(now, now, machine, out)).or_else(|| shared(self))?;
         let line = self.lines.get_mut(&at)?;
         line.offers.push(id);
         line.used_at = now;
@@ -363,7 +408,7 @@
     /// A connection is made.
     pub fn opened(&mut self, now: Seconds, id: LineId, out: &mut Vec<LineAction>) {
         let Some(line) = self.lines.get_mut(&id) else { return out.push(LineAction::Close(id)) };
-        (line.dialled, line.heard_at) = (None, now);
+        (line.dialled, line.heard_at, line.opened_at) = (None, now, now);
         let waiting = std::mem::take(&mut line.waiting);
         out.extend(waiting.into_iter().map(|(offer, bytes)| LineAction::Offer(id, offer, bytes)));
         let machine = line.machine;
@@ -443,7 +488,7 @@
         let idle: Vec<LineId> = self.lines.iter().filter(|(_, line)| idle(line)).map(|(&id, _)| id).collect();
         for id in idle {
             // One at a time, as of two idle ones to a machine one may be needed.
-            if self.lines.get(&id).is_some_and(|line| line.spare.is_some()) {
+            if self.lines.get(&id).is_some_and(|line| matches!(line.rests, Some((Rest::Spare, _)))) {
                 self.finish(now, id, out);
             }
         }
@@ -454,9 +499,12 @@
             out.push(LineAction::Close(id));
         }
         let wanted = |peer: &Peer| peer.holds > 0 || !peer.queue.is_empty();
-        let wanted: Vec<MachineId> =
-            self.peers.iter().filter(|(_, peer)| wanted(peer)).map(|(&machine, _)| machine).collect();
-        for machine in wanted {
+        let wanted = self.peers.iter().filter(|(_, peer)| wanted(peer));
+        let mut wanted: Vec<(Seconds, MachineId)> =
+            wanted.map(|(&machine, peer)| (peer.heard_at, machine)).collect();
+        // Who was heard longest ago comes first: where there is no room for all, the last would never be called.
+        wanted.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, machine) in wanted {
             self.keep(now, machine, out, news);
         }
         self.peers.retain(|_, peer| !peer.gone || peer.holds > 0 || !peer.lines.is_empty());
@@ -470,11 +518,13 @@
             news.push(News::Lost(machine));
             return;
         }
-        let (silent_for, redial_at) = (now - peer.heard_at, peer.redial_at);
+        let (silent_for, redial_at, told) = (now - peer.heard_at, peer.redial_at, peer.queue.is_empty());
         let open = || self.to(machine).filter(|(_, line)| line.dialled.is_none());
         let tested = open().any(|(_, line)| line.tested_at.is_some());
         let newest = open().max_by(|a, b| a.1.heard_at.total_cmp(&b.1.heard_at)).map(|(id, _)| id);
-        let suspect = newest.is_none() || silent_for > TEST_AFTER + TEST_FOR;
+        // Where there is no room for all, those without a connection take turns.
+        let waits = self.short() && silent_for < VISIT && told;
+        let suspect = newest.is_none() && !waits || silent_for > TEST_AFTER + TEST_FOR;
         let silent = newest.filter(|_| !tested && silent_for > TEST_AFTER);
         if let Some((id, line)) = silent.and_then(|id| Some((id, self.lines.get_mut(&id)?))) {
             line.tested_at = Some(now);
@@ -485,10 +535,10 @@
         if suspect
             && !dialling
             && now >= redial_at
-            && self.dial(now, machine, out).is_none()
-            && let Some(peer) = self.peers.get_mut(&machine)
+            && self.dial(now, now - KEPT, machine, out).is_none()
+            && let Some(peer) = self.peers.get_mut(&machine).filter(|peer| peer.address.is_empty())
         {
-            // No room, or no address: that need not be the machine's fault, but it can't be heard.
+            // Nobody knows where it could be heard. That there is no room is not its fault, and proves nothing.
             (peer.fails, peer.redial_at) = (peer.fails + 1, now + REDIAL);
         }
     }
