Shedding acts from one shortest aim on, and mildly: early and fast it feeds itself

Looked at by half seconds: from 0.2 aims on, 15% a window, shedding drove itself to 95%. Who is turned away comes again, and turning away is a fifth of the work of placing: 3,974 of 12,000 were placed, without shedding 9,722.

--- a/crates/pressure/src/lib.rs
+++ b/crates/pressure/src/lib.rs
@@ -13,18 +13,21 @@
 /// Seconds.
 pub type Seconds = f64;
 
-/// A loop that was never less late than this share of the shortest aim, over a window, is behind.
-const BEHIND: f64 = 0.2;
+/// A loop that was never less late than this many of the shortest aim, over a window, is behind: whatever it takes
+/// now misses that aim by the wait alone. Sooner would do harm: who is turned away comes again, and turning away is
+/// work too, so that shedding feeds itself (at 0.2 a flood of a modelled loop's own speed had two of three pieces shed,
+/// and without shedding none was lost).
+const BEHIND: f64 = 1.0;
 /// One that was once less late than this share of it in a window has caught up.
-const IN_TIME: f64 = 0.05;
+const IN_TIME: f64 = 0.25;
 /// Windows, as a share of the shortest aim, and at least this long.
 const WINDOW: f64 = 0.2;
 const WINDOW_LEAST: Seconds = 0.1;
 /// In each window behind, this share more of the new work is turned away, unless the loop catches up already; in
-/// each window in time this much less. Down is slower than up, and between the two nothing changes: else it would
-/// swing.
-const MORE: f64 = 0.15;
-const LESS: f64 = 0.03;
+/// each window in time this much less. Up is slow, as it takes a while to act, and between the two nothing changes:
+/// else it would swing.
+const MORE: f64 = 0.02;
+const LESS: f64 = 0.1;
 /// However late, some new work is taken: else nothing would show that the loop can do it again.
 const SHED_MOST: f64 = 0.95;
 /// What is known of the mix of classes fades by this with each piece of new work.
