--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -200,7 +200,7 @@
         }
     }
 
-    /// The open connections to a machine.
+    /// The connections to a machine that are not finished, those that are being dialled too.
     fn to(&self, machine: MachineId) -> impl Iterator<Item = (LineId, &Line)> {
         let lines = self.peers.get(&machine).into_iter().flat_map(|peer| &peer.lines);
         lines.filter_map(|&id| {
@@ -298,7 +298,10 @@
             self.finish(now, id, out);
         }
         while self.count() >= self.most {
-            let Some((id, _)) = self.finishing.pop_first() else { return false };
+            // The one that was finished first: an end on its way there has had most time.
+            let first = self.finishing.iter().min_by(|a, b| a.1.1.total_cmp(&b.1.1)).map(|(&id, _)| id);
+            let Some(id) = first else { return false };
+            self.finishing.remove(&id);
             out.push(LineAction::Close(id));
         }
         true
--- a/crates/policy/examples/cost.rs
+++ b/crates/policy/examples/cost.rs
@@ -6,79 +6,29 @@
 use tidespur_policy::Scheduler;
 use tidespur_policy::interface::*;
 
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+/// Two classes that wait for ever, one of them spread.
 fn settings() -> Settings {
-    let class = |worth| Class {
-        aim: 1e6,
-        deadline: 1e6,
-        effect: Effect::Safe,
-        worth,
-        start_worth: 10.0,
-        calm: 1.0,
-        fade: 1.0,
-        kind: None,
-        priority: 0,
-        spread: None,
-        spread_most: 0,
-    };
-    let spread = Class { spread: Some(Place::Machine), spread_most: 2, ..class(3.0) };
-    Settings {
-        ordinal: 0,
-        schedulers: 16,
-        zone: 0,
-        classes: vec![class(1.0), spread],
-        tenants: vec![],
-        kinds: vec![Kind { cores: 32.0, memory: 64.0 }],
-        admit_cores: 2.5,
-        admit_memory: 1.5,
-        one_home: false,
-        confirm_when_running: false,
-        subscribe: false,
-        lists_free: true,
-        reports: Reports::Answers,
-        reports_use: false,
-        probes: false,
-        messages: false,
-        max_attempts: 1_000,
-        max_retry_after: 0.0,
-        over_share_worth: 0.1,
-        safety: Safety {
-            answer_slack: 0.05,
-            ask_within: 10.0,
-            cold_from: 0.15,
-            cold: 9.0,
-            cold_bears: 8.0,
-            drain_grace: 1.0,
-            fall_multiple: 3.0,
-            overload_for: 1.0,
-        },
-        prices: Prices::default(),
-    }
+    let class = Class { aim: 1e6, deadline: 1e6, ..common::class(Effect::Safe) };
+    let spread = Class { worth: 3.0, spread: Some(Place::Machine), spread_most: 2, ..class.clone() };
+    let set = common::settings(vec![class, spread]);
+    Settings { schedulers: 16, reports_use: false, max_attempts: 1_000, ..set }
 }
 
 fn entry(machine: u64, free: f64) -> Entry {
-    Entry {
-        machine: MachineId(machine.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
-        kind: 0,
-        cell: machine as usize / 8,
-        zone: machine as usize % 3,
-        standing: Standing::Ready,
-        up_since: None,
-        free_cores: free,
-        free_memory: 60.0,
-    }
+    let id = MachineId(machine.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    Entry { machine: id, zone: machine as usize % 3, free_cores: free, ..common::entry(machine) }
 }
 
 fn task(id: u64) -> Task {
     Task {
-        id: TaskId(id),
-        class: usize::from(id.is_multiple_of(4)),
-        tenant: 0,
         service: ServiceId(id % 50),
-        deadline: 1e7,
         life: Some(60.0),
         cores: [0.5, 1.0, 2.0][id as usize % 3],
         memory: [1.0, 2.0][id as usize % 2],
-        returned: false,
+        ..common::task(id, usize::from(id.is_multiple_of(4)), 1e7)
     }
 }
 
