After a burst of starts, programs count again; the working set can admit its tasks

Checked by logs of all sixteen schedulers: placements at a machine that holds the program fell from 0.56 to 0.05; the usual time of a start with the program, as learned, rose from 0.11 to 0.92 s, that without it stood at 0.94 s, so programs counted for nothing. At fault: Scheduler::started took what lasted less than three usual starts, and any start with the program known, as usual; held up by others' starts both grow, and the bound with them. A second cause by a probe in place(): 261 of 402 ready machines were called spare while the others were asked for 1.11 of their memory. At fault: mark_spare counted comfort by use and not what admission allows by what is asked. Tests for both, each seen to fail without its code.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -39,7 +39,6 @@
 
 const START: Seconds = 0.2; // One start with the program at hand, before any was seen,
 const SETUP: f64 = 6.0; // and how many times that one without it takes.
-const WITHOUT: f64 = 3.0; // A start that took this many usual ones was one without the program.
 const STARTING: f64 = 3.0; // A second of a start costs this much, as it holds up others.
 const IN_TIME: f64 = 0.7; // From this share of the aim on a start may be late,
 const LATE_OVER: f64 = 0.6; // and over this share more that becomes sure.
@@ -466,7 +465,9 @@
         load.runs = true;
         let took = (now - load.sent_at).max(0.0);
         if load.alone {
-            let without = !job.warm && took > WITHOUT * self.starts[0].value;
+            let between = (self.starts[0].value * self.starts[1].value).sqrt();
+            let without = !job.warm && took > between;
+            let took = if job.warm { took.min(between) } else { took };
             self.starts[usize::from(without)].learn(took.max(1e-3), ANSWER_WEIGHT);
         }
     }
@@ -872,13 +873,17 @@
         let kept = |machine: &Machine| if machine.spare { 0.0 } else { KEPT_OPEN };
         let mut order: Vec<_> = listed().map(|(&id, machine)| (full(machine) + kept(machine), id)).collect();
         self.need = need;
+        // What a machine holds of them: up to comfort, and no more than it admits.
+        let admits = [self.settings.admit_cores, self.settings.admit_memory];
+        let full = [CORES_FULL, MEMORY_FULL];
+        let holds = [0, 1].map(|i| full[i].min(admits[i] * ADMIT_FULL * self.used[i].value) * WORKING);
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, id) in order {
             let Some(machine) = self.machines.get_mut(&id) else { continue };
             machine.spare = need[0] <= 0.0 && need[1] <= 0.0;
             if !machine.leaving {
-                need[0] -= machine.size[0] * CORES_FULL * WORKING;
-                need[1] -= machine.size[1] * MEMORY_FULL * WORKING;
+                need[0] -= machine.size[0] * holds[0];
+                need[1] -= machine.size[1] * holds[1];
             }
         }
     }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -296,3 +296,65 @@
     let waits = w.scheduler.explain(2_001.0, TaskId(2)).expect("no machine takes it");
     assert!(waits.machines < 200, "{} machines are still known", waits.machines);
 }
+
+/// Starts that wait behind those of other schedulers tell nothing of what a start takes: once they had been learned as
+/// usual, a start without the program seemed no dearer, tasks went anywhere, and their starts kept all machines busy.
+#[test]
+fn programs_go_on_counting_after_starts_that_others_held_up() {
+    let mut w = Watched::new(settings(vec![class(Effect::Safe)]), 1);
+    w.step(1.0, vec![fleet(12)]);
+    let mut now = 1.0;
+    let mut start = |w: &mut Watched, id: u64, service: u64, takes: Seconds| {
+        now += 10.0;
+        let new = Task { service: ServiceId(service), ..task(id, 0, now + 6.0) };
+        let sent = sends(&w.step(now, vec![Event::Submit(new)]));
+        w.step(now + 0.02, vec![Event::Confirmed { task: TaskId(id), attempt: 0 }]);
+        w.step(now + takes, vec![Event::Note { task: TaskId(id), note: Note::Runs }]);
+        sent[0].1
+    };
+    // Usual starts, without the program and with it.
+    for id in 0..20 {
+        start(&mut w, id, id, 1.4);
+        start(&mut w, 100 + id, id, 0.1);
+    }
+    for id in 200..220 {
+        start(&mut w, id, 1, 2.0);
+    }
+    for id in 300..340 {
+        start(&mut w, id, id, 1.4);
+    }
+    // All machines but one are a little crowded: less dear than a start without the program.
+    let crowded = |n| Entry { free_memory: if n == 0 { 64.0 } else { -3.1 }, ..entry(n) };
+    w.step(1_002.0, vec![Event::ListWhole((0..12).map(crowded).collect())]);
+    let away = (400..424).filter(|&id| start(&mut w, id, id, 1.4) == MachineId(0)).count();
+    assert!(away <= 8, "{away} of 24 left the homes of their services");
+}
+
+/// Machines kept in use must be able to admit what they are kept for, also where tasks use much less than they ask:
+/// once only what is in use had been counted, the few of them with room drew all tasks of all schedulers.
+#[test]
+fn the_working_set_is_as_large_as_admission_asks() {
+    let mut set = settings(vec![class(Effect::Safe)]);
+    (set.admit_memory, set.prices.machines) = (1.2, 0.2);
+    let mut w = Watched::new(set, 1);
+    let asked = |n| if n < 10 { 1.16 } else { 0.6 + 0.3 * f64::from(u8::from(n < 12)) };
+    let listed = |n| Entry { free_cores: 16.0, free_memory: 64.0 * (1.0 - asked(n)), ..entry(n) };
+    w.step(1.0, vec![Event::ListWhole((0..24).map(listed).collect())]);
+    // Tasks use a good third of what they ask for.
+    let stands = (0..20).map(|id| Event::InPlace(task(id, 0, 99.0), MachineId(id % 10)));
+    w.step(1.0, stands.collect());
+    let uses = |id| Event::Note { task: TaskId(id), note: Note::UsesMemory(0.6) };
+    w.step(8.0, (0..20).map(uses).collect());
+    for look in 0..100 {
+        w.step(8.0 + 0.6 * f64::from(look), vec![]);
+    }
+    let mut used = std::collections::BTreeSet::new();
+    for id in 100..112 {
+        let now = 70.0 + 0.01 * id as f64;
+        let new = Task { service: ServiceId(id), ..task(id, 0, 79.0) };
+        used.extend(sends(&w.step(now, vec![Event::Submit(new)])).iter().map(|sent| sent.1));
+        w.step(now, vec![Event::Confirmed { task: TaskId(id), attempt: 0 }]);
+        w.step(now, vec![Event::Note { task: TaskId(id), note: Note::Runs }]);
+    }
+    assert!(used.len() >= 5, "{used:?}");
+}
