A view of the fleet, first part: members by SWIM, facts, exchange, and a simulated network

Package fleet: a state machine without I/O over foca. It adds what foca leaves open: members that stood still doubt themselves (the protocol's time stops with them), one that was given up comes back with a higher turn, no more often than every 0.3 s; of two processes of one name the older ends; facts by version with a random exchange; limits; datagrams of others counted and dropped. rig::simnet plays many of them in simulated time with cuts, loss, delay, stops, kills, joins; a failing script is cut down and printed. Seen while building: two that had given each other up answered each other without end (found by a test that ran out of memory; BACK answers it); a full member dropped whole datagrams, answers to probes among them, for one claim in them; lost members forgotten for room were brought back by those that still believed in them. Not used by the programs yet.

--- /dev/null
+++ b/crates/fleet/src/wire.rs
@@ -0,0 +1,79 @@
+//! Datagrams: who may have sent one, and what it is.
+//!
+//! Guards against other clusters, other versions, cut and senseless bytes: each is counted by its cause and dropped. It
+//! does not guard against members that lie on purpose: the network between schedulers is trusted.
+
+use crate::facts::{Told, Version};
+use crate::id::Id;
+use serde::{Deserialize, Serialize};
+
+/// The most bytes of one datagram, so that none is cut in two on the way.
+pub const DATAGRAM_MOST: usize = 1_200;
+/// What a datagram may carry beside its envelope.
+pub(crate) const BODY_MOST: usize = DATAGRAM_MOST - 64 - 8;
+const MAGIC: &[u8; 3] = b"tsf";
+/// Both sides must speak the same one.
+const VERSION: u8 = 1;
+
+/// What a datagram is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Body {
+    /// For the failure detector.
+    Swim(Vec<u8>),
+    /// Asks whoever takes datagrams there who it is.
+    Hello(Id),
+    /// The answer.
+    Welcome(Id),
+    /// To an older process of a name: this one has taken its place.
+    Newer(Id),
+    /// Versions of facts that the sender has; the answer is what is newer, and what is asked for.
+    Versions(Id, Vec<(String, Version)>),
+    /// Facts; ones named in the second list are asked for.
+    Facts(Id, Vec<Told>, Vec<String>),
+}
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Drop {
+    /// Not ours at all, cut, or senseless.
+    Unreadable,
+    /// Of another version of the program.
+    Version,
+    /// Of another cluster.
+    Cluster,
+    /// It claims more members than there may be.
+    TooMany,
+}
+
+/// Puts a body into a datagram.
+pub(crate) fn datagram(cluster: &str, body: &Body) -> Vec<u8> {
+    let inner = postcard::to_stdvec(body).unwrap_or_default();
+    let mut bytes = Vec::with_capacity(inner.len() + cluster.len() + 7);
+    bytes.extend(MAGIC);
+    bytes.push(VERSION);
+    bytes.push(cluster.len() as u8);
+    bytes.extend(cluster.as_bytes());
+    // The length tells a cut datagram from a whole one that happens to be readable.
+    bytes.extend((inner.len() as u16).to_be_bytes());
+    bytes.extend(inner);
+    bytes
+}
+
+/// Reads a datagram.
+pub(crate) fn read(cluster: &str, bytes: &[u8]) -> Result<Body, Drop> {
+    let rest = bytes.strip_prefix(MAGIC).ok_or(Drop::Unreadable)?;
+    let (&version, rest) = rest.split_first().ok_or(Drop::Unreadable)?;
+    if version != VERSION {
+        return Err(Drop::Version);
+    }
+    let (&length, rest) = rest.split_first().ok_or(Drop::Unreadable)?;
+    let (name, rest) = rest.split_at_checked(length.into()).ok_or(Drop::Unreadable)?;
+    if name != cluster.as_bytes() {
+        return Err(Drop::Cluster);
+    }
+    let (length, rest) = rest.split_at_checked(2).ok_or(Drop::Unreadable)?;
+    if bytes.len() > DATAGRAM_MOST || usize::from(u16::from_be_bytes([length[0], length[1]])) != rest.len() {
+        return Err(Drop::Unreadable);
+    }
+    postcard::from_bytes(rest).map_err(|_| Drop::Unreadable)
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod process;
 mod sample;
 pub mod scenario;
+pub mod simnet;
 pub mod supervisor;
 
 pub use cluster::{Cluster, Layout};
