Edges and planners join a fleet, find each other by it, and tidespur fleet shows it

Package fleet-net: the loop around a member, one datagram socket, bounded queues and log lines. Tests with real processes: two edges and four planners told nothing but two seeds settle after a kill, a stop of five seconds, a restart under the same name and the loss of a seed for good; of two processes with one name the older ends; off without settings.

--- a/crates/cli/src/children.rs
+++ b/crates/cli/src/children.rs
@@ -13,7 +13,7 @@
 pub fn edge(options: tidespur_edge::Options) -> Result<(), String> {
     end_with_parent();
     let config = config(options.config.as_ref())?;
-    let ready = |api: &str, link: &str| println!("ready {api} {link}");
+    let ready = |at: &[String]| println!("ready {}", at.join(" "));
     smol::block_on(tidespur_edge::run(config, options, ready))
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod commands;
 mod explain;
+mod fleet;
 mod show;
 mod up;
 
@@ -45,6 +46,8 @@
     Describe(commands::DescribeOptions),
     /// Tell why a Job or Pod waits, or what holds work back in the whole fleet
     Explain(explain::ExplainOptions),
+    /// Show edges and planners as an edge sees them, and whether all see the same
+    Fleet(fleet::FleetOptions),
     /// Delete an object
     Delete(commands::DeleteOptions),
     /// Let a node take nothing new
@@ -96,6 +99,7 @@
         Command::Describe(options) => commands::describe(&target, options),
         Command::Explain(options) => explain::explain(&target, options),
         Command::Delete(options) => commands::delete(&target, options),
+        Command::Fleet(options) => fleet::fleet(&target, options),
         Command::Cordon(options) => commands::cordon(&target, &options.node, true),
         Command::Uncordon(options) => commands::cordon(&target, &options.node, false),
         Command::Drain(options) => commands::drain(&target, options),
--- /dev/null
+++ b/crates/cli/tests/fleet.rs
@@ -0,0 +1,172 @@
+//! A fleet of real processes that find each other: two edges and four planners, killed and stopped by turns.
+
+use bytes::Bytes;
+use hyper::Method;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use tidespur_net::{Client, clock};
+use tidespur_rig::process::Process;
+
+/// How long a view may take to settle. Waited for, not measured: small machines are slow.
+const WITHIN: f64 = 40.0;
+
+struct Fleet {
+    _register: Process,
+    all: BTreeMap<String, Process>,
+    /// The API of each edge.
+    apis: BTreeMap<String, String>,
+    seeds: String,
+    register: String,
+    logs: tempfile::TempDir,
+}
+
+impl Fleet {
+    fn start(edges: usize, planners: usize) -> Self {
+        let logs = tempfile::tempdir().unwrap();
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_tidespur"));
+        let line = "standin-register --listen 127.0.0.1:0 --delay 0.1";
+        let words = line.split(' ').map(str::to_owned).collect();
+        let log = Some(logs.path().join("register.log"));
+        let register = Process::start("register", program, words, log, true).unwrap();
+        let at = register.addresses[0].clone();
+        let (all, apis) = (BTreeMap::new(), BTreeMap::new());
+        let mut fleet = Self { _register: register, all, apis, seeds: String::new(), register: at, logs };
+        for i in 0..edges {
+            fleet.launch(&format!("edge-{i}"));
+        }
+        for i in 0..planners {
+            fleet.launch(&format!("planner-{i}"));
+        }
+        fleet
+    }
+
+    /// Starts a member. Nobody is told an address but for the first two edges' in the fleet.
+    fn launch(&mut self, name: &str) {
+        let edge = name.starts_with("edge");
+        let number = name.rsplit('-').next().unwrap();
+        let line = if edge {
+            "edge --api 127.0.0.1:0 --link 127.0.0.1:0 --fleet-listen 127.0.0.1:0".to_owned()
+        } else {
+            format!("planner --ordinal {number} --planners 4")
+        };
+        let line = format!("{line} --name {name} --register {}{}", self.register, self.seeds);
+        let words = line.split(' ').map(str::to_owned).collect();
+        let log = Some(self.logs.path().join(format!("{name}.log")));
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_tidespur"));
+        let process = Process::start(name, program, words, log, edge).unwrap();
+        if edge {
+            self.apis.insert(name.into(), process.addresses[0].clone());
+            if self.apis.len() <= 2 {
+                self.seeds += &format!(" --fleet-join {}", process.addresses[2]);
+            }
+        }
+        self.all.insert(name.into(), process);
+    }
+
+    fn ask(&self, edge: &str, path: &str) -> Option<tidespur_net::Reply> {
+        let client = Client::new(&self.apis[edge], 1, vec![]);
+        smol::block_on(client.send(Method::GET, path, "", Bytes::new(), 2.0)).ok()
+    }
+
+    /// Waits until each of these edges sees just these members live, and all see the same; tells the last view else.
+    fn settle(&self, edges: &[&str], live: &[&str]) {
+        let until = clock::now() + WITHIN;
+        loop {
+            let views: Vec<Value> =
+                edges.iter().filter_map(|edge| Some(self.ask(edge, "/debug/fleet")?.json())).collect();
+            let names = |view: &Value| -> Vec<String> {
+                let members = view["members"].as_array().cloned().unwrap_or_default();
+                let live = members.iter().filter(|m| m["state"] == "live" || m["state"] == "doubted");
+                live.map(|m| m["name"].as_str().unwrap_or("").to_owned()).collect()
+            };
+            let good = |view: &Value| view["settled"] == true && names(view) == live;
+            if views.len() == edges.len() && views.iter().all(good) {
+                return;
+            }
+            assert!(clock::now() < until, "wanted {live:?}, have {views:#?}");
+            smol::block_on(clock::sleep(0.1));
+        }
+    }
+
+    /// Waits until so many planners are linked to this edge.
+    fn linked(&self, edge: &str, planners: usize) {
+        let (until, wanted) = (clock::now() + WITHIN, format!("ok, planners: {planners}"));
+        while self.ask(edge, "/readyz").is_none_or(|reply| reply.body != wanted.as_bytes()) {
+            assert!(clock::now() < until, "{edge} has not {planners} planners");
+            smol::block_on(clock::sleep(0.1));
+        }
+    }
+}
+
+#[test]
+fn edges_and_planners_find_each_other_and_settle_after_kills_and_stops() {
+    let mut fleet = Fleet::start(2, 4);
+    let both = ["edge-0", "edge-1"];
+    let whole = ["edge-0", "edge-1", "planner-0", "planner-1", "planner-2", "planner-3"];
+    fleet.settle(&both, &whole);
+    // Planners were told no edge: the links come from the view.
+    both.iter().for_each(|edge| fleet.linked(edge, 4));
+
+    // A planner dies.
+    fleet.all.get_mut("planner-2").unwrap().kill();
+    let rest: Vec<&str> = whole.iter().copied().filter(|name| *name != "planner-2").collect();
+    fleet.settle(&both, &rest);
+    both.iter().for_each(|edge| fleet.linked(edge, 3));
+
+    // Another stands still for ten seconds, and the dead one comes back under its name meanwhile.
+    fleet.all["planner-1"].pause(true);
+    fleet.launch("planner-2");
+    let rest: Vec<&str> = whole.iter().copied().filter(|name| *name != "planner-1").collect();
+    fleet.settle(&both, &rest);
+    smol::block_on(clock::sleep(5.0));
+    fleet.all["planner-1"].pause(false);
+    fleet.settle(&both, &whole);
+    both.iter().for_each(|edge| fleet.linked(edge, 4));
+
+    // The first seed dies for good; an edge that joins after that is linked to by all.
+    fleet.all.remove("edge-0");
+    fleet.launch("edge-2");
+    let after = ["edge-1", "edge-2", "planner-0", "planner-1", "planner-2", "planner-3"];
+    fleet.settle(&["edge-1", "edge-2"], &after);
+    ["edge-1", "edge-2"].iter().for_each(|edge| fleet.linked(edge, 4));
+}
+
+/// Two processes of one name: the older ends by itself.
+#[test]
+fn of_two_processes_with_one_name_the_older_ends() {
+    let mut fleet = Fleet::start(1, 1);
+    fleet.settle(&["edge-0"], &["edge-0", "planner-0"]);
+    // Past the time in which a start may take a higher incarnation.
+    smol::block_on(clock::sleep(4.0));
+    let mut older = fleet.all.remove("planner-0").unwrap();
+    fleet.launch("planner-0");
+    let until = clock::now() + WITHIN;
+    while older.ended().is_none() {
+        assert!(clock::now() < until, "the older one goes on");
+        smol::block_on(clock::sleep(0.1));
+    }
+    fleet.settle(&["edge-0"], &["edge-0", "planner-0"]);
+    fleet.linked("edge-0", 1);
+    assert!(fleet.all.get_mut("planner-0").unwrap().ended().is_none());
+}
+
+/// Without the block `fleet` and its flags, no fleet: the edge says so, and a planner wants to be told its edges.
+#[test]
+fn without_settings_there_is_no_fleet() {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_tidespur"));
+    let words = |line: &str| line.split(' ').map(str::to_owned).collect();
+    let line = "edge --api 127.0.0.1:0 --link 127.0.0.1:0 --register 127.0.0.1:1";
+    let edge = Process::start("edge", program.clone(), words(line), None, true).unwrap();
+    assert_eq!(edge.addresses.len(), 2, "no datagram socket");
+    let client = Client::new(&edge.addresses[0], 1, vec![]);
+    let reply = smol::block_on(client.send(Method::GET, "/debug/fleet", "", Bytes::new(), 5.0)).unwrap();
+    assert_eq!(reply.status.as_u16(), 404);
+    let mut planner =
+        Process::start("planner", program, words("planner --register 127.0.0.1:1"), None, false).unwrap();
+    let until = clock::now() + WITHIN;
+    while planner.ended().is_none() {
+        assert!(clock::now() < until, "it goes on without an edge");
+        smol::block_on(clock::sleep(0.05));
+    }
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -117,6 +117,23 @@
         range("planner.step_most", f64::from(p.step_most), 1.0, 1e6)?;
         range("planner.edge_patience", p.edge_patience, 0.2, 600.0)?;
         range("planner.planners", f64::from(p.planners), 1.0, 1e4)?;
+        if let Some(fleet) = &self.fleet {
+            let word = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+            if fleet.cluster.is_empty() || fleet.cluster.len() > 48 || !fleet.cluster.chars().all(word) {
+                return fail("fleet.cluster".into(), "1 to 48 letters, digits, '-', '_' or '.' are needed");
+            }
+            for (key, address) in
+                [("listen", &fleet.listen)].into_iter().chain(fleet.join.iter().map(|a| ("join", a)))
+            {
+                if address.parse::<std::net::SocketAddr>().is_err() {
+                    return fail(
+                        format!("fleet.{key}"),
+                        "an address and a port are needed, as 127.0.0.1:7001",
+                    );
+                }
+            }
+            range("fleet.members_most", f64::from(fleet.members_most), 2.0, 4096.0)?;
+        }
         let o = &self.owner;
         range("owner.again_first", o.again_first, 0.01, 3600.0)?;
         range("owner.again_most", o.again_most, o.again_first, 86_400.0)?;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -32,6 +32,9 @@
     /// The owner's side.
     #[serde(default)]
     pub owner: Owner,
+    /// The fleet's view; off without it.
+    #[serde(default)]
+    pub fleet: Option<FleetBlock>,
 }
 
 /// A tenant.
@@ -224,6 +227,20 @@
     }
 }
 
+section! {
+    /// How edges and planners find each other.
+    FleetBlock {
+        /// Members of other clusters are not listened to.
+        cluster: String = "tidespur".into(),
+        /// Address for datagrams.
+        listen: String = "127.0.0.1:0".into(),
+        /// Addresses of other members; one that answers is enough.
+        join: Vec<String> = vec![],
+        /// Members at a time.
+        members_most: u32 = 1_024,
+    }
+}
+
 section! {
     /// The planner.
     Planner {
--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -11,7 +11,8 @@
 use tidespur_api::resource::{EVENTS, JOBS, NAMESPACES, PODS};
 use tidespur_api::status::Cause;
 use tidespur_api::{ApiError, Object, Resource, meta, names};
-use tidespur_net::{Client, NetError, Recorder};
+use tidespur_fleet_net::Member;
+use tidespur_net::{Client, NetError, Recorder, clock};
 use tidespur_pressure::Pressure;
 use tidespur_rest::{DeleteOptions, Hooks, Seen, Verb};
 use tidespur_store::{Expect, Store};
@@ -30,6 +31,7 @@
     pub(crate) recorder: Recorder,
     pub(crate) ledger: Arc<Mutex<Ledger>>,
     pub(crate) behind: AtomicU64,
+    pub(crate) member: Option<Arc<Member>>,
     pub(crate) pressure: Mutex<Pressure>,
 }
 
@@ -175,6 +177,11 @@
     /// of a namespace, and the plain path the fleet's view, in counts alone: owners see only their own names.
     fn other(&self, method: &str, path: &str, _: &[u8]) -> Option<Result<Object, ApiError>> {
         let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
+        if let (["debug", "fleet"], "GET") = (parts.as_slice(), method) {
+            let off = || ApiError::not_found("fleet", "none: this edge has joined no fleet");
+            let report = |member: &Arc<Member>| tidespur_fleet_net::report(&member.view(), clock::now());
+            return Some(self.member.as_ref().map(report).ok_or_else(off));
+        }
         let ["debug", "waits", rest @ ..] = parts.as_slice() else { return None };
         if method != "GET" {
             return Some(Err(ApiError::method()));
@@ -241,6 +248,7 @@
             recorder: Recorder::default(),
             ledger: crate::core::Core::new(config, 1).ledger(),
             behind: AtomicU64::new(0),
+            member: None,
             pressure: Mutex::new(Pressure::new(0.5, vec![1.0, 5.0])),
         }
     }
--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -21,7 +21,7 @@
     let arguments = Arguments::parse();
     tidespur_net::logs(arguments.log_json);
     let config = tidespur_config::load_or_default(arguments.options.config.as_deref());
-    let ready = |api: &str, link: &str| println!("ready {api} {link}");
+    let ready = |at: &[String]| println!("ready {}", at.join(" "));
     let ran = config
         .map_err(|e| e.to_string())
         .and_then(|config| smol::block_on(tidespur_edge::run(config, arguments.options, ready)));
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,6 +13,8 @@
 use std::sync::{Arc, Mutex};
 use tidespur_api::resource::NAMESPACES;
 use tidespur_config::Config;
+use tidespur_fleet::{Facts, Output, Role};
+use tidespur_fleet_net::Member;
 use tidespur_link::{ToEdge, ToPlanner};
 use tidespur_net::follow::{Followed, follow};
 use tidespur_net::{Client, Recorder, clock, frames, server};
@@ -44,6 +46,9 @@
     /// Record what crosses its sockets in this file
     #[arg(long)]
     pub record: Option<PathBuf>,
+    /// How it joins a fleet
+    #[command(flatten)]
+    pub fleet: tidespur_fleet_net::Joining,
 }
 
 /// Inputs that may wait for the core.
@@ -52,6 +57,8 @@
 const STEP_MOST: usize = 512;
 /// Silence after which the register's watch counts as lost.
 const SILENCE: f64 = 1.6;
+/// The fleet is told how this edge stands this often.
+const TELL: f64 = 1.0;
 /// How far the edge is behind its work is measured this often.
 const MARK: f64 = 0.1;
 
@@ -64,8 +71,9 @@
     recorder: Recorder,
 }
 
-/// Runs the edge until the process ends. `ready` is called with the addresses of API and link.
-pub async fn run(config: Config, options: Options, ready: impl FnOnce(&str, &str)) -> Result<(), String> {
+/// Runs the edge until the process ends. `ready` is called with the addresses of API, link and, where it joins a
+/// fleet, of its datagrams.
+pub async fn run(config: Config, options: Options, ready: impl FnOnce(&[String])) -> Result<(), String> {
     let bind = async |address: &str| {
         TcpListener::bind(address).await.map_err(|e| format!("{address}: can't listen: {e}"))
     };
@@ -91,6 +99,9 @@
         // The second "default" stands already.
         drop(store.create(NAMESPACES, object, clock::now()));
     }
+    let facts = Facts { api: api_address.clone(), link: link_address.clone(), ..Facts::of(Role::Edge) };
+    let member = Member::join(&config, &options.fleet, &options.name, facts.clone(), options.seed).await?;
+    let member = member.map(Arc::new);
     let core = Core::new(config.clone(), options.seed);
     let (send, receive) = async_channel::bounded(INPUTS_MOST);
     let hooks = EdgeHooks {
@@ -103,6 +114,7 @@
         recorder: recorder.clone(),
         ledger: core.ledger(),
         behind: AtomicU64::new(0),
+        member: member.clone(),
         pressure: Mutex::new(Pressure::of(config.class.values().map(|class| (class.aim, class.worth)))),
     };
     let limits = Limits {
@@ -129,7 +141,12 @@
     smol::spawn(this.clone().mark()).detach();
     smol::spawn(async move { server::serve(api_listener, served, Arc::new(Served(api))).await }).detach();
     tracing::info!(edge = this.options.name, api = api_address, link = link_address, "started");
-    ready(&api_address, &link_address);
+    let mut addresses = vec![api_address, link_address];
+    if let Some(member) = member {
+        addresses.push(member.address.to_string());
+        smol::spawn(this.clone().keep_fleet(member, facts)).detach();
+    }
+    ready(&addresses);
     this.turn(core, receive).await;
     Ok(())
 }
@@ -178,6 +195,22 @@
         }
     }
 
+    /// Tells the fleet how this edge stands; ends the process once a newer one has its name.
+    async fn keep_fleet(self: Arc<Self>, member: Arc<Member>, mut facts: Facts) {
+        loop {
+            match clock::within(TELL, member.news.recv()).await {
+                Some(Ok(Output::Replaced(_))) => {
+                    tracing::error!(edge = self.options.name, "ends: a newer process has its name");
+                    std::process::exit(1);
+                }
+                Some(Err(_)) => return,
+                _ => {}
+            }
+            facts.open = u32::try_from(self.api.hooks.open.load(Ordering::Relaxed)).unwrap_or(u32::MAX);
+            member.tell(facts.clone());
+        }
+    }
+
     /// Measures how far the edge is behind its work.
     async fn mark(self: Arc<Self>) {
         while self.inputs.send(Input::Sent(clock::now())).await.is_ok() {
--- /dev/null
+++ b/crates/fleet-net/src/lib.rs
@@ -0,0 +1,191 @@
+//! The loop around a member of the fleet: a datagram socket and timers in, datagrams and news out. It decides nothing.
+
+use async_channel::{Receiver, Sender};
+use serde_json::{Value, json};
+use smol::net::UdpSocket;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tidespur_config::Config;
+use tidespur_fleet::{DATAGRAM_MOST, Facts, Fleet, Id, Input, Output, Settings, View};
+use tidespur_net::clock;
+
+/// Datagrams that are taken into one step.
+const STEP_MOST: usize = 256;
+/// News that wait for whoever asked for them; more are dropped, as the view tells all of it.
+const NEWS_MOST: usize = 256;
+/// Lines of the log about members, a second; the rest is counted.
+const LINES: f64 = 20.0;
+
+/// How a program joins the fleet, beside the settings' block `fleet`.
+#[derive(Clone, Debug, Default, clap::Args)]
+pub struct Joining {
+    /// Join a fleet at this address of another member; may be given several times
+    #[arg(long = "fleet-join")]
+    pub fleet_join: Vec<SocketAddr>,
+    /// Address for the fleet's datagrams; the fleet is off without this, `--fleet-join` and a block `fleet`
+    #[arg(long)]
+    pub fleet_listen: Option<SocketAddr>,
+}
+
+/// A member that runs; it ends with this value.
+pub struct Member {
+    fleet: Arc<Mutex<Fleet>>,
+    tell: Sender<Input>,
+    /// What has changed: ask [`Member::view`].
+    pub news: Receiver<Output>,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    _loop: smol::Task<()>,
+}
+
+impl Member {
+    /// Joins the fleet, where one is set up; `None` where none is.
+    ///
+    /// # Errors
+    /// What keeps it from joining.
+    pub async fn join(
+        config: &Config,
+        options: &Joining,
+        name: &str,
+        facts: Facts,
+        seed: u64,
+    ) -> Result<Option<Self>, String> {
+        if config.fleet.is_none() && options.fleet_listen.is_none() && options.fleet_join.is_empty() {
+            return Ok(None);
+        }
+        let block = config.fleet.clone().unwrap_or_default();
+        let listen = options.fleet_listen.map_or(block.listen.clone(), |address| address.to_string());
+        let mut join = options.fleet_join.clone();
+        for address in &block.join {
+            join.push(address.parse().map_err(|e| format!("fleet.join: {address}: {e}"))?);
+        }
+        let socket = UdpSocket::bind(&listen).await.map_err(|e| format!("{listen}: no datagrams: {e}"))?;
+        let address = socket.local_addr().map_err(|e| e.to_string())?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let own = Id { name: name.to_owned(), address, born, turn: 0 };
+        let settings = Settings {
+            cluster: block.cluster,
+            join,
+            members_most: block.members_most as usize,
+            ..Settings::default()
+        };
+        let fleet = Fleet::new(settings, own, facts, seed ^ born, clock::now())?;
+        let fleet = Arc::new(Mutex::new(fleet));
+        let (tell, told) = async_channel::bounded(16);
+        let (send, news) = async_channel::bounded(NEWS_MOST);
+        let name = name.to_owned();
+        tracing::info!(member = name, %address, "joins the fleet");
+        let task = smol::spawn(turn(fleet.clone(), socket, told, send, name));
+        Ok(Some(Self { fleet, tell, news, address, _loop: task }))
+    }
+
+    /// The fleet as this member sees it.
+    pub fn view(&self) -> View {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner).view()
+    }
+
+    /// What this member tells of itself from now on.
+    pub fn tell(&self, facts: Facts) {
+        // Where the loop is that far behind, the next word is newer.
+        let _ = self.tell.try_send(Input::Tell(facts));
+    }
+}
+
+async fn turn(
+    fleet: Arc<Mutex<Fleet>>,
+    socket: UdpSocket,
+    told: Receiver<Input>,
+    news: Sender<Output>,
+    name: String,
+) {
+    let lock = || fleet.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut buffer = vec![0; DATAGRAM_MOST + 1];
+    // Lines of the log that may be written, and those that were not.
+    let (mut lines, mut lines_at, mut unsaid) = (LINES, clock::now(), 0_u64);
+    loop {
+        let wake = lock().next_wake();
+        if !wake.is_finite() {
+            return;
+        }
+        let came = async {
+            match socket.recv(&mut buffer).await {
+                Ok(bytes) => Some(Input::Datagram(buffer[..bytes].to_vec())),
+                // Of a peer that is gone, on some systems.
+                Err(_) => None,
+            }
+        };
+        let asked = async { told.recv().await.ok() };
+        let first = clock::within(wake - clock::now(), futures(came, asked)).await.flatten();
+        let mut inputs: Vec<Input> = first.into_iter().collect();
+        while inputs.len() < STEP_MOST {
+            // What has come already is read before time goes on.
+            let next = async { socket.recv(&mut buffer).await.ok() };
+            let Some(Some(bytes)) = smol::future::poll_once(next).await else { break };
+            inputs.push(Input::Datagram(buffer[..bytes].to_vec()));
+        }
+        let mut out = Vec::new();
+        lock().step(clock::now(), inputs, &mut out);
+        let now = clock::now();
+        lines = (lines + (now - lines_at) * LINES).min(LINES);
+        lines_at = now;
+        for output in out {
+            match output {
+                Output::Send(to, bytes) => {
+                    // A datagram that can't go at once is lost, as one is on the way.
+                    let _ = smol::future::poll_once(socket.send_to(&bytes, to)).await;
+                }
+                output => {
+                    if lines >= 1.0 {
+                        lines -= 1.0;
+                        say(&name, &output, std::mem::take(&mut unsaid));
+                    } else {
+                        unsaid += 1;
+                    }
+                    let _ = news.try_send(output);
+                }
+            }
+        }
+    }
+}
+
+/// Whichever comes first.
+async fn futures(
+    a: impl Future<Output = Option<Input>>,
+    b: impl Future<Output = Option<Input>>,
+) -> Option<Input> {
+    smol::future::or(a, b).await
+}
+
+fn say(member: &str, output: &Output, unsaid: u64) {
+    match output {
+        Output::Joined(who) => tracing::info!(member, who, unsaid, "a member joined"),
+        Output::Doubted(who) => tracing::info!(member, who, unsaid, "a member is in doubt"),
+        Output::Cleared(who) => tracing::info!(member, who, unsaid, "a member says that it lives"),
+        Output::Lost(who) => tracing::warn!(member, who, unsaid, "a member is lost"),
+        Output::Left(who) => tracing::info!(member, who, unsaid, "a member left in order"),
+        Output::Rejoined => tracing::warn!(member, unsaid, "given up by others; back under a higher turn"),
+        Output::Replaced(by) => {
+            tracing::error!(member, address = %by.address, "a newer process has this name; this one ends");
+        }
+        Output::Told(_) | Output::Send(..) => {}
+    }
+}
+
+/// A view as JSON, for operators and their tools. `now` is the asked member's clock.
+pub fn report(view: &View, now: f64) -> Value {
+    let member = |seen: &tidespur_fleet::Seen| {
+        let facts = seen.facts.as_ref();
+        json!({"name": seen.id.name, "address": seen.id.address.to_string(), "incarnation": seen.id.born,
+            "turn": seen.id.turn, "state": seen.standing.word(), "for": (now - seen.since).max(0.0),
+            "role": facts.map(|facts| facts.role.word()), "zone": facts.map(|facts| facts.zone.as_str()),
+            "api": facts.map(|facts| facts.api.as_str()), "link": facts.map(|facts| facts.link.as_str()),
+            "open": facts.map(|facts| facts.open), "behindMs": facts.map(|facts| facts.behind),
+            "factsAge": facts.map(|_| (now - seen.told_at).max(0.0))})
+    };
+    let drops: serde_json::Map<String, Value> =
+        view.drops.iter().map(|(why, count)| (format!("{why:?}").to_lowercase(), (*count).into())).collect();
+    json!({"asked": view.own.name, "settled": view.settled, "live": view.live().count(),
+        "members": view.members.iter().map(member).collect::<Vec<_>>(),
+        "drops": drops, "rejoins": view.rejoins, "stalls": view.stalls})
+}
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -12,6 +12,8 @@
 use tidespur_api::task::Ask;
 use tidespur_api::{Object, meta, names};
 use tidespur_config::Config;
+use tidespur_fleet::{Facts, Output as News, Role, Standing};
+use tidespur_fleet_net::Member;
 use tidespur_link::{ToEdge, ToPlanner};
 use tidespur_net::follow::{Followed, follow};
 use tidespur_net::{Client, NetError, Recorder, clock, frames};
@@ -23,8 +25,8 @@
     /// Settings (HCL); without it the built-in ones hold
     #[arg(long)]
     pub config: Option<PathBuf>,
-    /// Link address of an edge; may be given several times
-    #[arg(long = "edge", required = true)]
+    /// Link address of an edge; may be given several times, and is not needed in a fleet
+    #[arg(long = "edge")]
     pub edges: Vec<String>,
     /// Address of the register of nodes
     #[arg(long)]
@@ -44,6 +46,9 @@
     /// Record what crosses its sockets in this file
     #[arg(long)]
     pub record: Option<PathBuf>,
+    /// How it joins a fleet
+    #[command(flatten)]
+    pub fleet: tidespur_fleet_net::Joining,
 }
 
 /// Inputs that may wait for the core.
@@ -54,6 +59,10 @@
 const HEAD_WITHIN: f64 = 2.0;
 /// A node or the register silent for this long has lost its watch; both tell every half second that they live.
 const SILENCE: f64 = 1.6;
+/// Links to edges at once.
+const LINKS_MOST: usize = 256;
+/// The fleet is told how this planner stands this often.
+const TELL: f64 = 0.5;
 /// Pause before a lost connection is tried again.
 const AGAIN: f64 = 0.25;
 
@@ -90,10 +99,17 @@
         watches: Mutex::default(),
         recorder,
     });
-    for (id, address) in this.options.edges.iter().cloned().enumerate() {
-        let this = this.clone();
-        smol::spawn(async move { this.follow_edge(id as EdgeId, &address).await }).detach();
+    let facts = Facts { zone: this.options.zone.clone(), ..Facts::of(Role::Planner) };
+    let options = &this.options;
+    let member = Member::join(&this.config, &options.fleet, &this.name, facts.clone(), options.seed).await?;
+    if member.is_none() && options.edges.is_empty() {
+        return Err("--edge is needed where no fleet is joined".into());
     }
+    let mut links = Links::default();
+    for address in &options.edges {
+        links.open(&this, address, true);
+    }
+    smol::spawn(this.clone().keep_fleet(member, facts, links)).detach();
     let marks = this.inputs.clone();
     smol::spawn(async move {
         while marks.send(Input::Sent(clock::now())).await.is_ok() {
@@ -332,6 +348,40 @@
         follow(&client, "/api/v1/nodes", HEAD_WITHIN, SILENCE, read, &self.inputs).await
     }
 
+    /// Keeps a link to each edge that the fleet lists; ends the process once a newer one has its name.
+    async fn keep_fleet(self: Arc<Self>, member: Option<Member>, facts: Facts, mut links: Links) {
+        let Some(member) = member else {
+            // The links given by hand are kept.
+            return std::future::pending().await;
+        };
+        loop {
+            match clock::within(TELL, member.news.recv()).await {
+                Some(Ok(News::Replaced(_))) => {
+                    tracing::error!(planner = self.name, "ends: a newer process has its name");
+                    std::process::exit(1);
+                }
+                Some(Err(_)) => return,
+                _ => {}
+            }
+            let view = member.view();
+            let listed = view.live().filter_map(|seen| seen.facts.as_ref());
+            let listed: Vec<&Facts> = listed.filter(|facts| facts.role == Role::Edge).collect();
+            for edge in listed.iter().filter(|edge| !edge.link.is_empty() && !edge.leaving) {
+                links.open(&self, &edge.link, false);
+            }
+            // An edge in whose place nobody is known any more: one that is only lost is dialled on, as the view may be
+            // wrong and a link that works is better evidence.
+            let known: Vec<&str> = view
+                .members
+                .iter()
+                .filter(|seen| seen.standing != Standing::Left)
+                .filter_map(|seen| Some(seen.facts.as_ref()?.link.as_str()))
+                .collect();
+            links.keep(&self, &known);
+            member.tell(facts.clone());
+        }
+    }
+
     async fn follow_edge(&self, id: EdgeId, address: &str) {
         loop {
             match self.serve_edge(id, address).await {
@@ -370,6 +420,51 @@
     }
 }
 
+/// Links to edges, by address.
+#[derive(Default)]
+struct Links {
+    open: BTreeMap<String, Link>,
+    next: EdgeId,
+}
+
+struct Link {
+    id: EdgeId,
+    by_hand: bool,
+    task: smol::Task<()>,
+}
+
+impl Links {
+    /// Opens a link, unless there is one.
+    fn open(&mut self, to: &Arc<Loop>, address: &str, by_hand: bool) {
+        if self.open.contains_key(address) || self.open.len() >= LINKS_MOST {
+            return;
+        }
+        let (this, id, at) = (to.clone(), self.next, address.to_owned());
+        self.next += 1;
+        let task = smol::spawn(async move { this.follow_edge(id, &at).await });
+        self.open.insert(address.to_owned(), Link { id, by_hand, task });
+    }
+
+    /// Ends links to edges that are not known any more, but for those given by hand.
+    fn keep(&mut self, of: &Arc<Loop>, known: &[&str]) {
+        let gone: Vec<String> = self
+            .open
+            .iter()
+            .filter(|(at, link)| !link.by_hand && !known.contains(&at.as_str()))
+            .map(|(at, _)| at.clone())
+            .collect();
+        for address in gone {
+            let Some(Link { id, task, .. }) = self.open.remove(&address) else { continue };
+            drop(task);
+            if let Ok(mut edges) = of.edges.lock() {
+                edges.remove(&id);
+            }
+            let this = of.clone();
+            smol::spawn(async move { drop(this.inputs.send(Input::EdgeLost(id)).await) }).detach();
+        }
+    }
+}
+
 /// What a Node in the list says, for the recording.
 fn told(node: &Object) -> Value {
     json!({"node": meta::name(node), "unschedulable": meta::at(node, &["spec", "unschedulable"]),
