--- a/crates/cli/src/up.rs
+++ b/crates/cli/src/up.rs
@@ -53,6 +53,7 @@
 pub fn up(options: UpOptions) -> Result<(), String> {
     let mut layout = layout(options.nodes, options.planners, options.seed)?;
     layout.edges = options.edges.clamp(1, 20);
+    layout.fleet = true;
     layout.api = options.api;
     layout.config = options.config;
     layout.records = options.record;
--- a/crates/fleet/tests/member.rs
+++ b/crates/fleet/tests/member.rs
@@ -134,6 +134,25 @@
     assert_eq!(b.standing, Standing::Live);
 }
 
+/// A member that may know no more is told of others by one that it knows: what else that one says, its answers to
+/// probes among it, must not be dropped with the claims.
+#[test]
+fn a_full_member_goes_on_with_those_it_knows() {
+    let small = Settings { members_most: 1, ..join() };
+    let mut members = vec![member(id("a", 1, 1), small, 0.0), member(id("b", 2, 1), join(), 0.0)];
+    run(&mut members, 0.0, 2.0);
+    // The others come by `b`, which tells `a` of them.
+    let by_b = Settings { join: vec![address(2)], ..Settings::default() };
+    members.push(member(id("c", 3, 1), by_b.clone(), 2.0));
+    members.push(member(id("d", 4, 1), by_b, 2.0));
+    let said = run(&mut members, 2.0, 20.0);
+    let of_b = |output: &Output| matches!(output, Output::Lost(who) | Output::Doubted(who) if who == "b");
+    assert!(!said.iter().any(|(who, output)| *who == 0 && of_b(output)), "{said:?}");
+    let view = members[0].view();
+    assert!(view.drops.contains_key(&Drop::TooMany));
+    assert_eq!(view.live().map(|seen| seen.id.name.as_str()).collect::<Vec<_>>(), ["a", "b"]);
+}
+
 fn datagram(output: Output) -> Option<Vec<u8>> {
     match output {
         Output::Send(_, bytes) => Some(bytes),
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -34,6 +34,8 @@
     pub cold: bool,
     /// Zones.
     pub zones: usize,
+    /// Edges and planners find each other by the fleet; else planners are told the edges.
+    pub fleet: bool,
 }
 
 impl Layout {
@@ -52,6 +54,7 @@
             delay: 0.5,
             cold: false,
             zones: 2,
+            fleet: false,
         }
     }
 }
@@ -124,16 +127,27 @@
             );
             nodes.push(launch(&site.name, [words(&line), config.clone()].concat())?);
         }
-        let mut edges = Vec::new();
+        let mut edges: Vec<Process> = Vec::new();
+        // The first two edges are everybody's seeds.
+        let joins = |edges: &[Process]| -> String {
+            let seeds = edges.iter().take(2).filter_map(|edge| edge.addresses.get(2));
+            seeds.map(|address| format!(" --fleet-join {address}")).collect()
+        };
         for i in 0..layout.edges {
             let api = if i == 0 { layout.api.as_str() } else { "127.0.0.1:0" };
             let seed = layout.seed.wrapping_add(7_000 + i as u64);
             let line =
                 format!("edge --api {api} --link 127.0.0.1:0 --register {at} --name edge-{i} --seed {seed}");
+            let line = match layout.fleet {
+                true => format!("{line} --fleet-listen 127.0.0.1:0{}", joins(&edges)),
+                false => line,
+            };
             edges.push(launch(&format!("edge-{i}"), [words(&line), config.clone()].concat())?);
         }
-        let links: String =
-            edges.iter().map(|edge: &Process| format!("--edge {} ", edge.addresses[1])).collect();
+        let links: String = match layout.fleet {
+            true => joins(&edges),
+            false => edges.iter().map(|edge| format!("--edge {} ", edge.addresses[1])).collect(),
+        };
         let mut planners = Vec::new();
         for i in 0..layout.planners {
             let zone = zone(i % layout.zones.max(1));
@@ -194,8 +208,9 @@
     pub fn restart_edge(&mut self, name: &str) -> Result<(), String> {
         let edge =
             self.edges.iter_mut().find(|edge| edge.name == name).ok_or(format!("{name}: no such edge"))?;
-        let (api, link) = (edge.addresses[0].clone(), edge.addresses[1].clone());
-        edge.restart(&[("--api", api), ("--link", link)], true)
+        let mut change = vec![("--api", edge.addresses[0].clone()), ("--link", edge.addresses[1].clone())];
+        change.extend(edge.addresses.get(2).map(|address| ("--fleet-listen", address.clone())));
+        edge.restart(&change, true)
     }
 
     /// Starts a killed planner again.
