--- a/crates/config/default.hcl
+++ b/crates/config/default.hcl
@@ -98,3 +98,10 @@
   again_lost  = 0.2 # pause after a node was lost or a task was moved
   settle      = 3   # a task that may run and must not twice is looked for after this long
 }
+
+# fleet {                                  # edges and planners find each other; off without this block
+#   cluster      = "tidespur"              # members of other clusters are not listened to
+#   listen       = "127.0.0.1:7001"        # datagrams
+#   join         = ["127.0.0.1:7001", "127.0.0.1:7002"] # others; one that answers is enough
+#   members_most = 1024
+# }
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -42,3 +42,22 @@
     let problem = parse("site.hcl", "a = 1\nb = = 2\n").unwrap_err();
     assert_eq!(problem.line, 2, "{problem}");
 }
+
+#[test]
+fn a_fleet_is_off_unless_it_is_named_and_bad_ones_name_their_key() {
+    assert!(parse("built-in", DEFAULT).unwrap().fleet.is_none());
+    let with = |block: &str| parse("site.hcl", &format!("{DEFAULT}\nfleet {{\n  {block}\n}}\n"));
+    let good = with("join = [\"127.0.0.1:7001\"]").unwrap().fleet.expect("it is named");
+    assert_eq!((good.cluster.as_str(), good.members_most), ("tidespur", 1_024));
+    for (block, key) in [
+        ("cluster = \"two words\"", "fleet.cluster"),
+        ("listen = \"here\"", "fleet.listen"),
+        ("join = [\"127.0.0.1\"]", "fleet.join"),
+        ("members_most = 1", "fleet.members_most"),
+        ("seeds = []", "fleet.seeds"),
+    ] {
+        let problem = with(block).unwrap_err();
+        let line = DEFAULT.lines().count() + 3;
+        assert_eq!((problem.key.as_str(), problem.line), (key, line), "{problem}");
+    }
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -61,9 +61,9 @@
             cluster: "tidespur".into(),
             join: vec![],
             members_most: 1_024,
-            probe_every: 0.4,
-            answer_within: 0.15,
-            doubt_for: 1.2,
+            probe_every: 0.3,
+            answer_within: 0.12,
+            doubt_for: 0.9,
             forget_after: 3_600.0,
         }
     }
