Links that stand outlive the view; a member told to end can't miss the word

Read once more: the word to end could be dropped with a full queue of news, and the loop that waited for it ended with all its links; both ends of the member's loop now mean the same. A planner cut a link to an edge that the view had forgotten even where it worked. Facts too long for a datagram, and an address that nobody can send to, are refused at the start.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -132,6 +132,13 @@
                     );
                 }
             }
+            // Others are told this address, and must be able to send to it.
+            if fleet.listen.parse().is_ok_and(|at: std::net::SocketAddr| at.ip().is_unspecified()) {
+                return fail(
+                    "fleet.listen".into(),
+                    "the address that others reach is needed, not 0.0.0.0 or ::",
+                );
+            }
             range("fleet.members_most", f64::from(fleet.members_most), 2.0, 4096.0)?;
         }
         let o = &self.owner;
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -52,6 +52,7 @@
     for (block, key) in [
         ("cluster = \"two words\"", "fleet.cluster"),
         ("listen = \"here\"", "fleet.listen"),
+        ("listen = \"0.0.0.0:7001\"", "fleet.listen"),
         ("join = [\"127.0.0.1\"]", "fleet.join"),
         ("members_most = 1", "fleet.members_most"),
         ("seeds = []", "fleet.seeds"),
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex};
 use tidespur_api::resource::NAMESPACES;
 use tidespur_config::Config;
-use tidespur_fleet::{Facts, Output, Role};
+use tidespur_fleet::{Facts, Role};
 use tidespur_fleet_net::Member;
 use tidespur_link::{ToEdge, ToPlanner};
 use tidespur_net::follow::{Followed, follow};
@@ -198,13 +198,9 @@
     /// Tells the fleet how this edge stands; ends the process once a newer one has its name.
     async fn keep_fleet(self: Arc<Self>, member: Arc<Member>, mut facts: Facts) {
         loop {
-            match clock::within(TELL, member.news.recv()).await {
-                Some(Ok(Output::Replaced(_))) => {
-                    tracing::error!(edge = self.options.name, "ends: a newer process has its name");
-                    std::process::exit(1);
-                }
-                Some(Err(_)) => return,
-                _ => {}
+            if !member.news_within(TELL).await {
+                tracing::error!(edge = self.options.name, "ends: a newer process has its name");
+                std::process::exit(1);
             }
             facts.open = u32::try_from(self.api.hooks.open.load(Ordering::Relaxed)).unwrap_or(u32::MAX);
             member.tell(facts.clone());
--- a/crates/fleet-net/src/lib.rs
+++ b/crates/fleet-net/src/lib.rs
@@ -32,8 +32,7 @@
 pub struct Member {
     fleet: Arc<Mutex<Fleet>>,
     tell: Sender<Input>,
-    /// What has changed: ask [`Member::view`].
-    pub news: Receiver<Output>,
+    news: Receiver<Output>,
     /// Where it takes datagrams.
     pub address: SocketAddr,
     _loop: smol::Task<()>,
@@ -85,6 +84,12 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner).view()
     }
 
+    /// Waits for news, this long at most; `false` once a newer process has this one's name, and it is to end.
+    pub async fn news_within(&self, seconds: f64) -> bool {
+        // The member's loop ends for nothing else.
+        !matches!(clock::within(seconds, self.news.recv()).await, Some(Ok(Output::Replaced(_)) | Err(_)))
+    }
+
     /// What this member tells of itself from now on.
     pub fn tell(&self, facts: Facts) {
         // Where the loop is that far behind, the next word is newer.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,7 +1,7 @@
 //! One member: datagrams and time in, datagrams and news out.
 
 use crate::Seconds;
-use crate::facts::{Facts, Told, Version};
+use crate::facts::{FACTS_MOST, Facts, Told, Version};
 use crate::id::{Id, name_is_sound};
 use crate::shared::Shared;
 use crate::view::{Seen, Standing, View};
@@ -217,6 +217,12 @@
             over: false,
         };
         fleet.sees = fleet.seen_now();
+        if !fleet.told().is_sound() {
+            return Err(format!(
+                "what {} tells of itself takes more than {FACTS_MOST} bytes",
+                fleet.own.name
+            ));
+        }
         fleet.publish();
         Ok(fleet)
     }
--- a/crates/fleet/tests/member.rs
+++ b/crates/fleet/tests/member.rs
@@ -201,6 +201,13 @@
     assert!(!said.contains(&Output::Lost("b".into())), "{said:?}");
 }
 
+#[test]
+fn facts_that_no_datagram_could_carry_are_refused_at_the_start() {
+    let long = Facts { zone: "z".repeat(500), ..Facts::of(Role::Edge) };
+    let refused = Fleet::new(Settings::default(), id("a", 1, 1), long, 1, 0.0).err();
+    assert!(refused.is_some_and(|why| why.contains("400 bytes")));
+}
+
 #[test]
 fn what_a_member_tells_is_known_to_the_other_and_the_newest_wins() {
     let mut members = [member(id("a", 1, 1), join(), 0.0), member(id("b", 2, 1), join(), 0.0)];
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -12,7 +12,7 @@
 use tidespur_api::task::Ask;
 use tidespur_api::{Object, meta, names};
 use tidespur_config::Config;
-use tidespur_fleet::{Facts, Output as News, Role, Standing};
+use tidespur_fleet::{Facts, Role, Standing};
 use tidespur_fleet_net::Member;
 use tidespur_link::{ToEdge, ToPlanner};
 use tidespur_net::follow::{Followed, follow};
@@ -355,13 +355,9 @@
             return std::future::pending().await;
         };
         loop {
-            match clock::within(TELL, member.news.recv()).await {
-                Some(Ok(News::Replaced(_))) => {
-                    tracing::error!(planner = self.name, "ends: a newer process has its name");
-                    std::process::exit(1);
-                }
-                Some(Err(_)) => return,
-                _ => {}
+            if !member.news_within(TELL).await {
+                tracing::error!(planner = self.name, "ends: a newer process has its name");
+                std::process::exit(1);
             }
             let view = member.view();
             let listed = view.live().filter_map(|seen| seen.facts.as_ref());
@@ -445,20 +441,19 @@
         self.open.insert(address.to_owned(), Link { id, by_hand, task });
     }
 
-    /// Ends links to edges that are not known any more, but for those given by hand.
+    /// Dials edges no more that are not known any more, but for those given by hand. A link that stands is left to
+    /// end by itself: it is better evidence than the view.
     fn keep(&mut self, of: &Arc<Loop>, known: &[&str]) {
+        let stands = |id: EdgeId| of.edges.lock().is_ok_and(|edges| edges.contains_key(&id));
         let gone: Vec<String> = self
             .open
             .iter()
-            .filter(|(at, link)| !link.by_hand && !known.contains(&at.as_str()))
+            .filter(|(at, link)| !link.by_hand && !known.contains(&at.as_str()) && !stands(link.id))
             .map(|(at, _)| at.clone())
             .collect();
         for address in gone {
             let Some(Link { id, task, .. }) = self.open.remove(&address) else { continue };
             drop(task);
-            if let Ok(mut edges) = of.edges.lock() {
-                edges.remove(&id);
-            }
             let this = of.clone();
             smol::spawn(async move { drop(this.inputs.send(Input::EdgeLost(id)).await) }).detach();
         }
