A member of a fleet that gets SIGTERM says that it leaves, and is not called lost

Need: a release of the programs must not look like the loss of half of the fleet. The loop sends the word and ends, the program with it, with status 0; without a fleet SIGTERM ends a program as before. Test with real processes: both edges call it left.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -124,6 +124,29 @@
     fleet.settle(&both, &whole);
     both.iter().for_each(|edge| fleet.linked(edge, 4));
 
+    // One is told to end: it says so, and is not called lost.
+    let mut leaves = fleet.all.remove("planner-0").unwrap();
+    leaves.terminate();
+    let rest: Vec<&str> = whole.iter().copied().filter(|name| *name != "planner-0").collect();
+    fleet.settle(&both, &rest);
+    for edge in both {
+        let view = fleet.ask(edge, "/debug/fleet").unwrap().json();
+        let members = view["members"].as_array().cloned().unwrap_or_default();
+        let state = members.iter().find(|member| member["name"] == "planner-0").map(|m| m["state"].clone());
+        assert_eq!(state, Some("left".into()), "{view:#?}");
+    }
+    let until = clock::now() + WITHIN;
+    let ended = loop {
+        assert!(clock::now() < until, "planner-0 goes on");
+        match leaves.ended() {
+            Some(how) => break how,
+            None => smol::block_on(clock::sleep(0.05)),
+        }
+    };
+    assert_eq!(ended, "exit status: 0");
+    fleet.launch("planner-0");
+    fleet.settle(&both, &whole);
+
     // The first seed dies for good; an edge that joins after that is linked to by all.
     fleet.all.remove("edge-0");
     fleet.launch("edge-2");
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -195,13 +195,10 @@
         }
     }
 
-    /// Tells the fleet how this edge stands; ends the process once a newer one has its name.
+    /// Tells the fleet how this edge stands; ends with the member.
     async fn keep_fleet(self: Arc<Self>, member: Arc<Member>, mut facts: Facts) {
         loop {
-            if !member.news_within(TELL).await {
-                tracing::error!(edge = self.options.name, "ends: a newer process has its name");
-                std::process::exit(1);
-            }
+            member.news_within(TELL).await;
             facts.open = u32::try_from(self.api.hooks.open.load(Ordering::Relaxed)).unwrap_or(u32::MAX);
             member.tell(facts.clone());
         }
--- a/crates/fleet-net/src/lib.rs
+++ b/crates/fleet-net/src/lib.rs
@@ -1,9 +1,12 @@
 //! The loop around a member of the fleet: a datagram socket and timers in, datagrams and news out. It decides nothing.
 
 use async_channel::{Receiver, Sender};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
 use serde_json::{Value, json};
 use smol::net::UdpSocket;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tidespur_config::Config;
@@ -35,7 +38,8 @@
     news: Receiver<Output>,
     /// Where it takes datagrams.
     pub address: SocketAddr,
-    _loop: smol::Task<()>,
+    leaving: Arc<AtomicBool>,
+    _tasks: [smol::Task<()>; 2],
 }
 
 impl Member {
@@ -73,10 +77,15 @@
         let fleet = Arc::new(Mutex::new(fleet));
         let (tell, told) = async_channel::bounded(16);
         let (send, news) = async_channel::bounded(NEWS_MOST);
+        let signals = Signals::new([Signal::Term]).map_err(|e| format!("signals: {e}"))?;
         let name = name.to_owned();
         tracing::info!(member = name, %address, "joins the fleet");
-        let task = smol::spawn(turn(fleet.clone(), socket, told, send, name));
-        Ok(Some(Self { fleet, tell, news, address, _loop: task }))
+        let leaving = Arc::new(AtomicBool::new(false));
+        let tasks = [
+            smol::spawn(turn(fleet.clone(), socket, told, send, name)),
+            smol::spawn(leave(signals, leaving.clone(), tell.clone())),
+        ];
+        Ok(Some(Self { fleet, tell, news, address, leaving, _tasks: tasks }))
     }
 
     /// The fleet as this member sees it.
@@ -84,10 +93,20 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner).view()
     }
 
-    /// Waits for news, this long at most; `false` once a newer process has this one's name, and it is to end.
-    pub async fn news_within(&self, seconds: f64) -> bool {
+    /// Waits for news, this long at most; ends the process once it has left in order, on SIGTERM, or a newer process
+    /// has its name.
+    pub async fn news_within(&self, seconds: f64) {
         // The member's loop ends for nothing else.
-        !matches!(clock::within(seconds, self.news.recv()).await, Some(Ok(Output::Replaced(_)) | Err(_)))
+        let news = clock::within(seconds, self.news.recv()).await;
+        if !matches!(news, Some(Ok(Output::Replaced(_)) | Err(_))) {
+            return;
+        }
+        if self.leaving.load(Ordering::Relaxed) {
+            tracing::info!(address = %self.address, "ends: told to, and the fleet was told");
+            std::process::exit(0);
+        }
+        tracing::error!(address = %self.address, "ends: a newer process has its name");
+        std::process::exit(1);
     }
 
     /// What this member tells of itself from now on.
@@ -97,6 +116,14 @@
     }
 }
 
+/// On SIGTERM the fleet is told that this member leaves.
+async fn leave(mut signals: Signals, leaving: Arc<AtomicBool>, tell: Sender<Input>) {
+    if signals.next().await.is_some() {
+        leaving.store(true, Ordering::Relaxed);
+        let _ = tell.send(Input::Leave).await;
+    }
+}
+
 async fn turn(
     fleet: Arc<Mutex<Fleet>>,
     socket: UdpSocket,
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -348,17 +348,14 @@
         follow(&client, "/api/v1/nodes", HEAD_WITHIN, SILENCE, read, &self.inputs).await
     }
 
-    /// Keeps a link to each edge that the fleet lists; ends the process once a newer one has its name.
+    /// Keeps a link to each edge that the fleet lists; ends with the member.
     async fn keep_fleet(self: Arc<Self>, member: Option<Member>, facts: Facts, mut links: Links) {
         let Some(member) = member else {
             // The links given by hand are kept.
             return std::future::pending().await;
         };
         loop {
-            if !member.news_within(TELL).await {
-                tracing::error!(planner = self.name, "ends: a newer process has its name");
-                std::process::exit(1);
-            }
+            member.news_within(TELL).await;
             let view = member.view();
             let listed = view.live().filter_map(|seen| seen.facts.as_ref());
             let listed: Vec<&Facts> = listed.filter(|facts| facts.role == Role::Edge).collect();
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -79,6 +79,18 @@
         }
     }
 
+    /// Asks it to end (SIGTERM).
+    pub fn terminate(&self) {
+        self.signal(rustix::process::Signal::TERM);
+    }
+
+    fn signal(&self, signal: rustix::process::Signal) {
+        let Some(id) = self.id().and_then(|id| rustix::process::Pid::from_raw(id as i32)) else { return };
+        if let Err(problem) = rustix::process::kill_process(id, signal) {
+            tracing::warn!(name = self.name, %problem, "can't be signalled");
+        }
+    }
+
     /// Starts it again, with further arguments in place of equal ones.
     pub fn restart(&mut self, change: &[(&str, String)], ready: bool) -> Result<(), String> {
         self.kill();
@@ -93,11 +105,7 @@
 
     /// Stands it still, or lets it go on.
     pub fn pause(&self, still: bool) {
-        let Some(id) = self.id().and_then(|id| rustix::process::Pid::from_raw(id as i32)) else { return };
-        let signal = if still { rustix::process::Signal::STOP } else { rustix::process::Signal::CONT };
-        if let Err(problem) = rustix::process::kill_process(id, signal) {
-            tracing::warn!(name = self.name, %problem, "can't be paused");
-        }
+        self.signal(if still { rustix::process::Signal::STOP } else { rustix::process::Signal::CONT });
     }
 
     /// How it ended, if it did so by itself.
