--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -359,7 +359,7 @@
         self.rejoins += 1;
         out.push(Output::Rejoined);
         let mut wants = Wants::default();
-        self.renew(Id { turn: self.own.turn + 1, ..self.own.clone() }, &mut wants);
+        self.renew(Id { turn: self.own.turn.saturating_add(1), ..self.own.clone() }, &mut wants);
         self.carry_out(now, wants, out);
     }
 
@@ -567,7 +567,7 @@
             out.push(Output::Replaced(twin));
             return true;
         }
-        let new = Id { born: twin.born + 1, turn: 0, ..self.own.clone() };
+        let new = Id { born: twin.born.saturating_add(1), turn: 0, ..self.own.clone() };
         (self.given_up, self.back_at) = (false, now - self.stood + BACK);
         let mut wants = Wants::default();
         self.renew(new, &mut wants);
