The decision code lies in seven files by what they decide; no choice changed

It is cut by what is decided: what is known and the step (choice.rs), what was observed (events), a machine's troubles (machine), admission with rules and cold budget (bars), Dice and what candidates lose (ordinary), placing, spare machines and counts (place), what is told, asked and probed (tell).

--- /dev/null
+++ b/crates/policy/src/choice/bars.rs
@@ -0,0 +1,127 @@
+//! Admission: what bars a task from a machine, by the five rules, by troubles, by room; and why one waits.
+
+use super::*;
+
+const LINE: usize = 4; // Offers of ours that may be in line at a machine.
+const COLD_PART: f64 = 0.5; // Of what cold machines bear, this part is used: chance may double it on one.
+const SLACK: f64 = 1.25; // The window in which they bear it is taken this much longer.
+
+impl Scheduler {
+    /// Lets this scheduler's part of what cold machines bear grow: what all may offer to all of them, as
+    /// schedulers can't agree on one. At first each has a random part of it, else all would offer at once.
+    pub(super) fn refill_cold(&mut self, now: Seconds) {
+        let safety = &self.settings.safety;
+        let cold = self.machines.values().filter(|m| m.ready() && cold(m, safety, now)).count();
+        let part = cold as f64 * safety.cold_bears * COLD_PART / self.settings.schedulers as f64;
+        let left = match self.cold_offers {
+            _ if cold == 0 => None,
+            (Some(left), at) => Some(left + part * (now - at) / safety.overload_for.max(1e-3)),
+            (None, _) => Some(self.rng.random_range(0.0..part.max(1.0))),
+        };
+        self.cold_offers = (left.map(|left| left.min(part.max(1.0))), now);
+    }
+
+    /// Whether one more offer keeps within this scheduler's part of what cold machines, and this one, bear.
+    fn bears(&self, now: Seconds, machine: &Machine) -> bool {
+        let safety = &self.settings.safety;
+        let part = (safety.cold_bears / self.settings.schedulers as f64).floor().max(1.0);
+        let left = self.cold_offers.0.is_none_or(|left| left >= 1.0);
+        !cold(machine, safety, now) || left && now >= machine.offered_at + safety.overload_for * SLACK / part
+    }
+
+    /// Until when this task may be sent, were a machine found.
+    pub(super) fn may_send_until(&self, job: &Job) -> Seconds {
+        let repeats = match (job.may_run, self.settings.classes[job.task.class].effect) {
+            _ if job.sends >= self.settings.max_attempts => 0.0,
+            (None, _) | (_, Effect::Safe) => f64::INFINITY,
+            (_, Effect::Unsafe) => 0.0,
+            (Some((at, _)), Effect::Keyed { window, .. }) => at + window,
+        };
+        job.task.deadline.min(repeats) - LEEWAY
+    }
+
+    /// What bars a task from a machine: the five rules, then what troubles and offers stand against it.
+    pub(super) fn bar(&self, now: Seconds, job: &Job, id: MachineId, machine: &Machine) -> Option<Bar> {
+        let bars = [self.bar_of_all(now, &job.task, machine), self.bar_of_own(job, id, machine)];
+        bars.into_iter().flatten().min_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal))
+    }
+
+    /// What bars all tasks of its class and tenant alike.
+    pub(super) fn bar_of_all(&self, now: Seconds, task: &Task, machine: &Machine) -> Option<Bar> {
+        let class = &self.settings.classes[task.class];
+        let (kind, standing) = machine.entry.as_ref().map(|entry| (entry.kind, entry.standing)).unzip();
+        match () {
+            () if !machine.ready() && standing == Some(Standing::Draining) => Some(Bar::Draining),
+            () if !machine.ready() => Some(Bar::Unlisted),
+            () if class.kind.is_some() && class.kind != kind => Some(Bar::Kind),
+            () if !self.bears(now, machine) => Some(Bar::Cold),
+            () if !machine.open(now, (task.class, task.tenant)) => Some(Bar::Aside(machine.aside_until(now))),
+            () => (machine.unanswered() >= LINE).then_some(Bar::Line),
+        }
+    }
+
+    /// What bars this task, by where it may have run and where its service is.
+    pub(super) fn bar_of_own(&self, job: &Job, id: MachineId, machine: &Machine) -> Option<Bar> {
+        let class = &self.settings.classes[job.task.class];
+        let in_group = match (job.may_run, class.effect) {
+            (Some((_, first)), Effect::Keyed { group, .. }) => self.same_place(group, id, machine, first),
+            _ => true,
+        };
+        let services = (job.task.service, MachineId(0))..=(job.task.service, MachineId(u64::MAX));
+        let there = |place| {
+            let near = |other| self.same_place(place, id, machine, other);
+            self.spread.range(services).filter(|at| near(at.0.1)).map(|at| at.1).sum::<u32>()
+        };
+        let full = class.spread.filter(|&place| there(place) >= class.spread_most);
+        if in_group { full.map(Bar::Spread) } else { Some(Bar::Group) }
+    }
+
+    /// Why a task waits: what bars it from each machine, by the predicates that decide. Changes nothing.
+    pub fn explain(&self, now: Seconds, id: TaskId) -> Option<Waiting> {
+        let job = self.jobs.get(&id).filter(|job| job.state == State::Held)?;
+        let until = self.may_send_until(job);
+        let block = match self.settings.classes[job.task.class].effect {
+            _ if now < until => None,
+            _ if job.sends >= self.settings.max_attempts => Some(Block::Attempts),
+            Effect::Unsafe if job.may_run.is_some() => Some(Block::MayHaveRun),
+            Effect::Keyed { .. } if now < job.task.deadline - LEEWAY => Some(Block::Window),
+            _ => Some(Block::Late),
+        };
+        let bar = |(&to, m): (&MachineId, &Machine)| {
+            Some((to, self.bar(now, job, to, m).or_else(|| self.lacks(&job.task, m))?))
+        };
+        Some(Waiting {
+            bars: self.machines.iter().filter_map(bar).collect(),
+            machines: self.machines.len(),
+            block,
+            until,
+            next_look: if self.retry_at.is_finite() { self.retry_at } else { now },
+            attempts: job.sends,
+        })
+    }
+
+    /// What the machine lacks to admit the task, as far as is known: of cores and memory what lacks more.
+    pub(super) fn lacks(&self, task: &Task, machine: &Machine) -> Option<Bar> {
+        let asked = [machine.asked(0) + task.cores, machine.asked(1) + task.memory];
+        let asked = [asked[0] / machine.size[0], asked[1] / machine.size[1]];
+        let admits = [self.settings.admit_cores, self.settings.admit_memory].map(|most| most * ADMIT_FULL);
+        let over = [0, 1].map(|i| (asked[i] - admits[i]) / admits[i]);
+        let short = |i: usize| (asked[i] - admits[i]) * machine.size[i];
+        match () {
+            () if !(0..2).any(|i| asked[i] > admits[i]) => None,
+            () if over[0] > over[1] => Some(Bar::Cores(short(0))),
+            () => Some(Bar::Memory(short(1))),
+        }
+    }
+
+    fn same_place(&self, place: Place, id: MachineId, machine: &Machine, other: MachineId) -> bool {
+        let entry = |machine: &Machine| machine.entry.as_ref().map(|entry| (entry.zone, entry.cell));
+        let (here, there) = (entry(machine), self.machines.get(&other).and_then(entry));
+        match place {
+            Place::All => true,
+            Place::Machine => id == other,
+            Place::Zone => here.zip(there).is_some_and(|(here, there)| here.0 == there.0),
+            Place::Cell => here.zip(there).is_some_and(|(here, there)| here.1 == there.1),
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod choice;
 pub mod interface;
+mod mean;
 
 pub use choice::Scheduler;
