--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,6 +1,7 @@
 //! `fleet`: edges and planners as an edge sees them.
 
 use crate::client::Target;
+use crate::show::say;
 use hyper::Method;
 use serde_json::Value;
 use tidespur_net::clock;
@@ -52,17 +53,24 @@
 
 fn show(told: &Value, json: bool) {
     if json {
-        println!("{}", serde_json::to_string_pretty(told).unwrap_or_default());
+        say!("{}", serde_json::to_string_pretty(told).unwrap_or_default());
         return;
     }
     let text = |value: &Value| value.as_str().filter(|text| !text.is_empty()).unwrap_or("-").to_owned();
-    println!(
+    say!(
         "{:<20} {:<8} {:<12} {:<8} {:>17} {:>7} {:>6} {:>6}",
-        "NAME", "ROLE", "ZONE", "STATE", "INCARNATION", "FACTS", "OPEN", "FOR"
+        "NAME",
+        "ROLE",
+        "ZONE",
+        "STATE",
+        "INCARNATION",
+        "FACTS",
+        "OPEN",
+        "FOR"
     );
     for member in told["members"].as_array().into_iter().flatten() {
         let seconds = |key: &str| member[key].as_f64().map_or("-".into(), |age| format!("{age:.0}s"));
-        println!(
+        say!(
             "{:<20} {:<8} {:<12} {:<8} {:>17} {:>7} {:>6} {:>6}",
             text(&member["name"]),
             text(&member["role"]),
@@ -75,5 +83,5 @@
         );
     }
     let settled = if told["settled"] == true { "all live members see the same" } else { "not settled" };
-    println!("{} live, as {} sees them; {settled}", told["live"], text(&told["asked"]));
+    say!("{} live, as {} sees them; {settled}", told["live"], text(&told["asked"]));
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod children;
 mod client;
 mod commands;
+mod demo;
 mod explain;
 mod fleet;
 mod show;
@@ -37,7 +38,7 @@
     /// Run edge, planners and stand-in nodes on loopback until SIGINT or SIGTERM
     Up(up::UpOptions),
     /// Submit a morning of Jobs to a cluster on loopback, lose a rack, tell what became of every task
-    Demo(up::DemoOptions),
+    Demo(demo::DemoOptions),
     /// Create objects from a file (YAML or JSON), or bring those that stand to what it says
     Apply(commands::ApplyOptions),
     /// Show objects
@@ -87,7 +88,7 @@
     let target = client::Target::new(&arguments.server, &arguments.namespace);
     let done = match arguments.command {
         Command::Up(options) => up::up(options),
-        Command::Demo(options) => return up::demo(options),
+        Command::Demo(options) => return demo::demo(options),
         Command::Badday(options) => match badday::bad_day(options) {
             Ok(true) => Ok(()),
             Ok(false) => return ExitCode::FAILURE,
--- /dev/null
+++ b/crates/cli/tests/power.rs
@@ -0,0 +1,131 @@
+//! Edges and planners that remember, killed in one instant at drawn moments and started again.
+
+mod common;
+
+use common::*;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+
+const SEED: u64 = 20_261_202;
+
+fn remembering(layout: &mut tidespur_rig::Layout, folder: &Path) {
+    layout.data = Some(folder.join("data"));
+}
+
+/// Kills all edges and planners at once, and starts them again.
+fn cut(running: &mut Running) {
+    let names: Vec<String> = running.cluster.children().into_iter().map(|(name, _)| name).collect();
+    let ours: Vec<String> =
+        names.into_iter().filter(|n| n.starts_with("edge") || n.starts_with("pl")).collect();
+    // First all are killed, then any is waited for: they go in one instant.
+    let pid = |id: u32| rustix::process::Pid::from_raw(id as i32).unwrap();
+    for (name, id) in running.cluster.children() {
+        if ours.contains(&name) {
+            rustix::process::kill_process(pid(id), rustix::process::Signal::KILL).unwrap();
+        }
+    }
+    for name in &ours {
+        running.cluster.process(name).unwrap().kill();
+        running.cluster.restart(name).unwrap();
+    }
+}
+
+fn name(answer: &Value) -> String {
+    answer["metadata"]["name"].as_str().unwrap_or("").to_owned()
+}
+
+/// Pods of guarded work that nodes accepted, by the key of the work, as the nodes themselves recorded them; work that
+/// came to a bad end at its node may be started again.
+fn starts(running: &Running) -> BTreeMap<String, i32> {
+    let mut starts: BTreeMap<String, i32> = BTreeMap::new();
+    for line in running.records() {
+        let key = line["key"].as_str().unwrap_or("").to_owned();
+        if !line["who"].as_str().is_some_and(|who| who.starts_with("node")) {
+            continue;
+        }
+        if line["what"] == "answer" && line["said"] == "accepted" && line["class"] == "slot-abgleich" {
+            *starts.entry(key).or_default() += 1;
+        } else if line["what"] == "pod" && line["phase"] == "Failed" {
+            starts.entry(key).and_modify(|starts| *starts -= 1);
+        }
+    }
+    starts
+}
+
+#[test]
+fn what_was_acknowledged_outlives_power_cuts_and_guarded_work_runs_once() {
+    let mut running = start(6, 2, remembering);
+    let mut rng = rand_pcg::Pcg32::seed_from_u64(SEED);
+    let mut acknowledged = BTreeSet::new();
+    let path = "/apis/batch/v1/namespaces/default/jobs";
+    for round in 0..5 {
+        for i in 0..rng.random_range(3..8) {
+            let class = if rng.random_bool(0.5) { "slot-abgleich" } else { "termin-web" };
+            let body = job_value(&format!("w{round}-{i}"), class, 2, 2.0);
+            let (status, made) = running.send("POST", path, "application/json", &body.to_string());
+            if status == 201 {
+                acknowledged.insert(name(&made));
+            }
+            std::thread::sleep(std::time::Duration::from_millis(rng.random_range(0..120)));
+        }
+        cut(&mut running);
+        let (status, list) = running.send("GET", path, "application/json", "");
+        assert_eq!(status, 200, "seed {SEED}, cut {round}");
+        let stand: BTreeSet<String> = list["items"].as_array().unwrap().iter().map(name).collect();
+        let lost: Vec<_> = acknowledged.difference(&stand).collect();
+        assert!(lost.is_empty(), "seed {SEED}, cut {round}: {lost:?} were acknowledged and are gone");
+    }
+    assert!(acknowledged.len() >= 15);
+    let jobs = running.jobs();
+    running.until("all Jobs are complete", async || {
+        let list = jobs.list(&Default::default()).await.ok()?;
+        list.items.iter().all(complete).then_some(())
+    });
+    let starts = starts(&running);
+    assert!(!starts.is_empty());
+    for (key, times) in starts {
+        assert!(times <= 1, "seed {SEED}: {key} was started {times} times");
+    }
+}
+
+#[test]
+fn a_watch_that_comes_back_after_a_cut_is_told_to_list_anew() {
+    let mut running = start(2, 1, remembering);
+    let body = job_value("web", "termin-web", 1, 60.0).to_string();
+    let path = "/apis/batch/v1/namespaces/default/jobs";
+    assert_eq!(running.send("POST", path, "application/json", &body).0, 201);
+    let (_, list) = running.send("GET", path, "application/json", "");
+    let version = list["metadata"]["resourceVersion"].as_str().unwrap().to_owned();
+    cut(&mut running);
+    let (status, told) =
+        running.send("GET", &format!("{path}?watch=true&resourceVersion={version}"), "application/json", "");
+    assert_eq!((status, told["reason"].as_str()), (410, Some("Expired")), "{told}");
+    let (_, again) = running.send("GET", path, "application/json", "");
+    let later = again["metadata"]["resourceVersion"].as_str().unwrap();
+    assert!(later.parse::<u64>().unwrap() > version.parse::<u64>().unwrap());
+    assert_eq!(name(&again["items"][0]), "web");
+}
+
+#[test]
+fn an_edge_whose_folder_is_in_use_or_another_s_does_not_start_and_says_why() {
+    let running = start(1, 1, remembering);
+    let folder = running.folder.path().join("data");
+    let register = running.cluster.register.addresses[0].clone();
+    let try_one = |name: &str| {
+        let log = running.folder.path().join("refused.log");
+        let line = format!(
+            "edge --api 127.0.0.1:0 --link 127.0.0.1:0 --register {register} --name {name} --data {}",
+            folder.display()
+        );
+        let words = line.split(' ').map(str::to_owned).collect();
+        let program = env!("CARGO_BIN_EXE_tidespur").into();
+        let started = tidespur_rig::process::Process::start(name, program, words, Some(log.clone()), true);
+        assert!(started.is_err(), "{name} has started");
+        std::fs::read_to_string(log).unwrap()
+    };
+    assert!(try_one("edge-0").contains("another process has it open"));
+    let told = try_one("planner-0");
+    assert!(told.contains("another process has it open") || told.contains("is the memory of"), "{told}");
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,9 +7,11 @@
 mod locate;
 mod model;
 mod policy;
+mod sections;
 
 pub use check::Problem;
 pub use model::*;
+pub use sections::*;
 
 use std::path::Path;
 
@@ -58,3 +60,16 @@
     })?;
     Ok(config)
 }
+
+/// The folder beneath which processes keep what outlives them: as the command line names it, else the settings.
+pub fn data(config: &Config, named: Option<&Path>) -> Option<std::path::PathBuf> {
+    let block = config.durable.as_ref().map(|durable| std::path::PathBuf::from(&durable.dir));
+    named.map(Path::to_owned).or(block)
+}
+
+impl Config {
+    /// The cluster that a process belongs to.
+    pub fn cluster(&self) -> &str {
+        self.fleet.as_ref().map_or(FleetBlock::CLUSTER, |fleet| &fleet.cluster)
+    }
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,19 +6,22 @@
 //! for it at any time. All rules about repeats are rules about one slot, in `slot.rs`.
 
 mod job;
+mod kept;
 mod pause;
 mod slot;
 mod view;
+mod words;
 
 pub use job::{JobStatus, Phase};
+pub use kept::{Kept, Past};
 pub use pause::Pauses;
 pub use slot::{Adopt, SlotId};
 pub use view::{JobView, PodEnd, PodPhase, PodView};
+pub use words::{Action, Event};
 
 use job::Job;
 use rand::SeedableRng;
 use std::collections::{BTreeMap, BTreeSet};
-use tidespur_link::Found;
 
 /// What the controller goes by.
 #[derive(Clone, Debug)]
@@ -33,96 +36,6 @@
     pub default_class: String,
 }
 
-/// What the controller is told.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A Job stands, new or changed.
-    Job(JobView),
-    /// A Job is gone.
-    JobGone(String),
-    /// A Pod was made for a slot.
-    Created {
-        /// The slot.
-        slot: SlotId,
-        /// The Pod.
-        pod: PodView,
-    },
-    /// A Pod could not be made for a slot.
-    NotCreated(SlotId),
-    /// A Pod stands, new or changed.
-    Pod(PodView),
-    /// A Pod is gone.
-    PodGone(PodView),
-    /// What was found of a Pod that may run.
-    Located {
-        /// Its uid.
-        uid: String,
-        /// What was found.
-        found: Found,
-    },
-}
-
-/// What the controller wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Make a Pod; `Created` or `NotCreated` is due.
-    Create {
-        /// For this slot.
-        slot: SlotId,
-        /// Namespace of the Job.
-        namespace: String,
-        /// Name of the Job.
-        job: String,
-        /// An earlier Pod of the slot did not stay.
-        returned: bool,
-        /// Take over what runs already.
-        adopt: Option<Adopt>,
-    },
-    /// Delete a Pod.
-    DeletePod {
-        /// Namespace.
-        namespace: String,
-        /// Name.
-        name: String,
-        /// Uid.
-        uid: String,
-    },
-    /// Write a Job's status.
-    Status {
-        /// Uid of the Job.
-        uid: String,
-        /// Namespace.
-        namespace: String,
-        /// Name.
-        name: String,
-        /// The status.
-        status: JobStatus,
-    },
-    /// Delete a Job whose time after its end is over.
-    DeleteJob {
-        /// Namespace.
-        namespace: String,
-        /// Name.
-        name: String,
-        /// Uid.
-        uid: String,
-    },
-    /// Ask all planners where this Pod runs, if anywhere; `Located` is due.
-    Locate {
-        /// Its uid.
-        uid: String,
-        /// Namespace.
-        namespace: String,
-        /// Name at nodes.
-        name: String,
-    },
-    /// Whatever runs of this Pod is to be stopped.
-    Reap {
-        /// Its uid.
-        uid: String,
-    },
-}
-
 /// The controller of all Jobs of one edge.
 #[derive(Debug)]
 pub struct Controller {
@@ -144,9 +57,7 @@
 
     /// Takes in `events`, all of time `now`, and appends what is to be done.
     pub fn step(&mut self, now: f64, events: Vec<Event>, out: &mut Vec<Action>) {
-        for event in events {
-            self.observe(now, event, out);
-        }
+        self.observe_all(now, events, out);
         for job in self.jobs.values_mut() {
             job.act(now, &mut self.pods, out);
         }
@@ -154,10 +65,18 @@
         let due: Vec<String> = due.collect();
         for uid in due {
             self.strays.remove(&uid);
+            out.push(Action::KeepStray { uid: uid.clone(), stands: false });
             out.push(Action::Reap { uid });
         }
     }
 
+    /// Takes in `events` and does nothing about them yet: for what an earlier process left, before the first step.
+    pub fn observe_all(&mut self, now: f64, events: Vec<Event>, out: &mut Vec<Action>) {
+        for event in events {
+            self.observe(now, event, out);
+        }
+    }
+
     /// When to step next though nothing happens.
     pub fn next_wake(&self) -> Option<f64> {
         let jobs = self.jobs.values().filter_map(Job::next_wake);
@@ -175,11 +94,19 @@
                 Some(job) => job.changed(view),
                 None => drop(self.jobs.insert(view.uid.clone(), Job::new(view, now))),
             },
+            Event::Recall(past) => {
+                let uid = past.view.uid.clone();
+                let job = Job::recalled(*past, now, &self.settings, &mut self.rng);
+                self.pods.extend(job.known_pods().map(|pod| (pod.to_owned(), uid.clone())));
+                self.jobs.insert(uid, job);
+            }
+            Event::RecallStray(uid) => drop(self.strays.insert(uid, now + self.settings.settle)),
             Event::JobGone(uid) => {
-                if let Some(job) = self.jobs.remove(&uid) {
-                    job.gone(&mut self.pods, &mut |uid| {
-                        self.strays.insert(uid, now + self.settings.settle);
-                    });
+                if let Some(mut job) = self.jobs.remove(&uid) {
+                    job.forget(out);
+                    let mut strays = Vec::new();
+                    job.gone(&mut self.pods, &mut |uid| strays.push(uid));
+                    strays.into_iter().for_each(|uid| self.stray(now, uid, out));
                 }
             }
             Event::Created { slot, pod } => match self.jobs.get_mut(&slot.job) {
@@ -199,7 +126,7 @@
             }
             Event::Pod(pod) => match self.pods.get(&pod.uid).and_then(|job| self.jobs.get_mut(job)) {
                 Some(job) => job.pod(now, &pod, &self.settings, &mut self.rng, &mut self.pods, out),
-                None => self.foreign(now, &pod),
+                None => self.foreign(now, &pod, out),
             },
             Event::PodGone(pod) => {
                 let job = self.pods.get(&pod.uid).and_then(|job| self.jobs.get_mut(job));
@@ -217,9 +144,14 @@
 
     /// A Pod without a Job here, or whose slot is over: nobody will ask for it again, so what may run of it after
     /// an unclear answer has no owner and is stopped.
-    fn foreign(&mut self, now: f64, pod: &PodView) {
-        if pod.phase == PodPhase::Ended(PodEnd::Unknown) {
-            self.strays.entry(pod.uid.clone()).or_insert(now + self.settings.settle);
+    fn foreign(&mut self, now: f64, pod: &PodView, out: &mut Vec<Action>) {
+        if pod.phase == PodPhase::Ended(PodEnd::Unknown) && !self.strays.contains_key(&pod.uid) {
+            self.stray(now, pod.uid.clone(), out);
         }
     }
+
+    fn stray(&mut self, now: f64, uid: String, out: &mut Vec<Action>) {
+        out.push(Action::KeepStray { uid: uid.clone(), stands: true });
+        self.strays.insert(uid, now + self.settings.settle);
+    }
 }
--- a/crates/controller/src/slot.rs
+++ b/crates/controller/src/slot.rs
@@ -2,6 +2,7 @@
 
 use crate::{PodEnd, PodPhase, PodView, Settings};
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use tidespur_link::{End, Found};
 
 /// Names a slot.
@@ -14,7 +15,7 @@
 }
 
 /// What runs already at a node and is to be taken over.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Adopt {
     /// The node.
     pub node: String,
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -1,5 +1,6 @@
 //! Jobs and Pods as the controller reads them. The one place where it looks into objects.
 
+use serde::{Deserialize, Serialize};
 use tidespur_api::{Object, meta, names};
 
 /// What a Job's owner wants.
@@ -51,7 +52,7 @@
 }
 
 /// How a Pod ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PodEnd {
     /// Its program finished.
     Succeeded,
@@ -70,7 +71,7 @@
 }
 
 /// How far a Pod is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PodPhase {
     /// No answer yet.
     Waiting,
@@ -83,7 +84,7 @@
 }
 
 /// A Pod.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PodView {
     /// Uid.
     pub uid: String,
--- /dev/null
+++ b/crates/durable/src/memory.rs
@@ -0,0 +1,268 @@
+//! The file of one process.
+
+use crate::error::told;
+use crate::{Batch, Error, Record};
+use redb::{Builder, Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Name of the file in the folder.
+pub const FILE: &str = "memory.redb";
+/// The format that this program writes; it rises where an older program could not read what a newer one wrote.
+const FORMAT: u64 = 1;
+/// Bytes of the file's library that may stay in memory: all that is read is read at the start.
+const CACHE: usize = 4 << 20;
+/// A file is made smaller at the start where it is beyond this,
+const COMPACT_FROM: u64 = 32 << 20;
+/// and this many times as large as what it holds.
+const COMPACT_AT: u64 = 4;
+
+pub(crate) const RECORDS: TableDefinition<(&str, &str), &[u8]> = TableDefinition::new("records");
+const ABOUT: TableDefinition<&str, &str> = TableDefinition::new("about");
+
+/// Whose memory it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// What the process does: `edge`, `planner`.
+    pub role: String,
+    /// Its name.
+    pub name: String,
+    /// The cluster that it belongs to.
+    pub cluster: String,
+}
+
+/// What an earlier process of this name left.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recalled {
+    /// All records.
+    pub records: BTreeMap<Record, Vec<u8>>,
+    /// How often the memory was opened, this time included: it rises with each start and never falls.
+    pub turn: u64,
+    /// When the memory was begun, in microseconds since 1970 by the clock of that moment.
+    pub begun: u64,
+}
+
+impl Recalled {
+    /// The incarnation of this process: higher than that of each earlier one of this memory, whatever the clock says
+    /// now. Where the memory is a new one it rests on the clock, so that it is higher than what was lost.
+    pub fn incarnation(&self) -> u64 {
+        self.begun.saturating_add(self.turn)
+    }
+
+    /// The records of a kind: key and value.
+    pub fn of<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = (&'a str, &'a [u8])> {
+        let from = (kind.to_owned(), String::new());
+        let all = self.records.range(from..).take_while(move |((k, _), _)| k == kind);
+        all.map(|((_, key), value)| (key.as_str(), value.as_slice()))
+    }
+}
+
+/// An open memory. One process has it open at a time.
+#[derive(Debug)]
+pub struct Memory {
+    file: PathBuf,
+    who: Identity,
+    /// `None` only while it is opened anew after a failed write.
+    disk: Option<Database>,
+}
+
+impl Memory {
+    /// Opens the memory in a folder, or begins one; checks every page, whose it is, and its version. What comes back
+    /// is on the disk, the new turn included.
+    ///
+    /// # Errors
+    /// Each says what an operator can do. Nothing is changed where it fails.
+    pub fn open(folder: &Path, who: &Identity) -> Result<(Self, Recalled), Error> {
+        let told = |why| Error::Folder { folder: folder.to_owned(), why };
+        std::fs::create_dir_all(folder).map_err(told)?;
+        let file = folder.join(FILE);
+        let new = !file.try_exists().map_err(told)?;
+        let disk = open(&file)?;
+        if new {
+            // The name of a new file is safe only once its folder is.
+            std::fs::File::open(folder).and_then(|folder| folder.sync_all()).map_err(told)?;
+        }
+        Self::begin(file, disk, who)
+    }
+
+    /// The same over a disk of the caller's, as simulations need.
+    ///
+    /// # Errors
+    /// As [`Memory::open`].
+    pub fn over(disk: impl StorageBackend, who: &Identity) -> Result<(Self, Recalled), Error> {
+        let file = PathBuf::from("(simulated)");
+        let disk = builder().create_with_backend(disk).map_err(|e| told(&file, e.into()))?;
+        Self::begin(file, disk, who)
+    }
+
+    fn begin(file: PathBuf, mut disk: Database, who: &Identity) -> Result<(Self, Recalled), Error> {
+        // What a power loss left half done was rolled back while it was opened; now every page must be what it was.
+        if !disk.check_integrity().map_err(|e| told(&file, e.into()))? {
+            return Err(Error::Damaged { file, why: "pages do not match their checksums".into() });
+        }
+        let mut memory = Self { file, who: who.clone(), disk: Some(disk) };
+        let (turn, begun) = memory.check()?;
+        let turn = turn + 1;
+        let records = memory.read()?;
+        let held: u64 = records.iter().map(|((a, b), v)| (a.len() + b.len() + v.len()) as u64).sum();
+        memory.compact(held)?;
+        memory.note("turn", &turn.to_string())?;
+        Ok((memory, Recalled { records, turn, begun }))
+    }
+
+    /// Whose it is, how often it was opened and when it was begun; writes that into a new one.
+    fn check(&mut self) -> Result<(u64, u64), Error> {
+        let role = format!("{} {}", self.who.role, self.who.name);
+        let about = self.about()?;
+        let Some(found) = about.get("format") else {
+            if !self.read()?.is_empty() {
+                return Err(Error::Foreign { file: self.file.clone() });
+            }
+            let cluster = self.who.cluster.clone();
+            let begun = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+            let (format, at) = (FORMAT.to_string(), begun.to_string());
+            self.notes(&[("format", &format), ("name", &role), ("cluster", &cluster), ("begun", &at)])?;
+            return Ok((0, begun));
+        };
+        let file = || self.file.clone();
+        let found: u64 = found.parse().map_err(|_| Error::Foreign { file: file() })?;
+        if found > FORMAT {
+            return Err(Error::Newer { file: file(), found, known: FORMAT });
+        }
+        let of = |key: &str| about.get(key).cloned().unwrap_or_default();
+        if of("cluster") != self.who.cluster {
+            let wanted = self.who.cluster.clone();
+            return Err(Error::OtherCluster { file: file(), found: of("cluster"), wanted });
+        }
+        if of("name") != role {
+            return Err(Error::OtherName { file: file(), found: of("name"), wanted: role });
+        }
+        let number = |key: &str| match about.get(key).map(|text| text.parse()) {
+            None => Ok(0),
+            Some(number) => number.map_err(|_| Error::Foreign { file: file() }),
+        };
+        Ok((number("turn")?, number("begun")?))
+    }
+
+    fn disk(&self) -> Result<&Database, Error> {
+        let closed = || Error::Disk { file: self.file.clone(), why: "it is closed after an error".into() };
+        self.disk.as_ref().ok_or_else(closed)
+    }
+
+    fn about(&self) -> Result<BTreeMap<String, String>, Error> {
+        let read = || -> Result<BTreeMap<String, String>, redb::Error> {
+            let disk = match &self.disk {
+                Some(disk) => disk.begin_read()?,
+                None => return Err(redb::Error::DatabaseClosed),
+            };
+            let table = match disk.open_table(ABOUT) {
+                Ok(table) => table,
+                Err(redb::TableError::TableDoesNotExist(_)) => return Ok(BTreeMap::new()),
+                Err(other) => return Err(other.into()),
+            };
+            let mut about = BTreeMap::new();
+            for entry in table.iter()? {
+                let (key, value) = entry?;
+                about.insert(key.value().to_owned(), value.value().to_owned());
+            }
+            Ok(about)
+        };
+        read().map_err(|e| told(&self.file, e))
+    }
+
+    fn note(&mut self, key: &str, value: &str) -> Result<(), Error> {
+        self.notes(&[(key, value)])
+    }
+
+    fn notes(&mut self, notes: &[(&str, &str)]) -> Result<(), Error> {
+        let disk = self.disk()?;
+        let write = || -> Result<(), redb::Error> {
+            let write = disk.begin_write()?;
+            {
+                let mut table = write.open_table(ABOUT)?;
+                for (key, value) in notes {
+                    table.insert(key, value)?;
+                }
+            }
+            Ok(write.commit()?)
+        };
+        write().map_err(|e| told(&self.file, e))
+    }
+
+    fn read(&self) -> Result<BTreeMap<Record, Vec<u8>>, Error> {
+        let disk = self.disk()?;
+        records(disk).map_err(|e| told(&self.file, e))
+    }
+
+    /// Writes a batch; once this returns it is on the disk as a whole.
+    ///
+    /// # Errors
+    /// Then nothing of it counts as written, and [`Memory::again`] has to be called before the next try.
+    pub fn write(&mut self, batch: &Batch) -> Result<(), Error> {
+        let disk = self.disk()?;
+        let write = || -> Result<(), redb::Error> {
+            let write = disk.begin_write()?;
+            {
+                let mut table = write.open_table(RECORDS)?;
+                for ((kind, key), value) in batch.changes() {
+                    match value {
+                        Some(value) => drop(table.insert((kind.as_str(), key.as_str()), value)?),
+                        None => drop(table.remove((kind.as_str(), key.as_str()))?),
+                    }
+                }
+            }
+            Ok(write.commit()?)
+        };
+        write().map_err(|e| told(&self.file, e))
+    }
+
+    /// Closes and opens the file anew after a failed write, as its library demands. The turn stays.
+    ///
+    /// # Errors
+    /// As [`Memory::open`]; it may be tried again.
+    pub fn again(&mut self) -> Result<(), Error> {
+        self.disk = None;
+        self.disk = Some(open(&self.file)?);
+        Ok(())
+    }
+
+    /// Makes a file smaller that holds little for its size.
+    fn compact(&mut self, held: u64) -> Result<(), Error> {
+        let size = std::fs::metadata(&self.file).map_or(0, |about| about.len());
+        if size < COMPACT_FROM || size < held.saturating_mul(COMPACT_AT) {
+            return Ok(());
+        }
+        let Some(disk) = &mut self.disk else { return Ok(()) };
+        match disk.compact() {
+            Ok(_) => Ok(()),
+            Err(problem) => Err(told(&self.file, problem.into())),
+        }
+    }
+}
+
+fn builder() -> Builder {
+    let mut builder = Builder::new();
+    builder.set_cache_size(CACHE);
+    builder
+}
+
+fn open(file: &Path) -> Result<Database, Error> {
+    builder().create(file).map_err(|e| told(file, e.into()))
+}
+
+pub(crate) fn records(disk: &impl ReadableDatabase) -> Result<BTreeMap<Record, Vec<u8>>, redb::Error> {
+    let read = disk.begin_read()?;
+    let table = match read.open_table(RECORDS) {
+        Ok(table) => table,
+        Err(redb::TableError::TableDoesNotExist(_)) => return Ok(BTreeMap::new()),
+        Err(other) => return Err(other.into()),
+    };
+    let mut records = BTreeMap::new();
+    for entry in table.iter()? {
+        let (key, value) = entry?;
+        let (kind, key) = key.value();
+        records.insert((kind.to_owned(), key.to_owned()), value.value().to_owned());
+    }
+    Ok(records)
+}
--- /dev/null
+++ b/crates/durable/src/process.rs
@@ -0,0 +1,101 @@
+//! A memory for as long as its process runs: how the one before it ended, and this one's end in order.
+
+use crate::{Batch, Error, Identity, Memory, Recalled, Writer};
+use async_channel::Receiver;
+use std::path::Path;
+use std::time::Duration;
+
+/// What was handed in is waited for this long when the process ends.
+const FLUSH: Duration = Duration::from_secs(5);
+/// Kind of the record that says that a process ended in order.
+const END: &str = "end";
+
+/// How the process before this one ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Before {
+    /// There was none.
+    None,
+    /// In order, with all it owed written down.
+    InOrder,
+    /// Killed, crashed, or without power.
+    CutOff,
+}
+
+impl Recalled {
+    /// How the process before this one ended.
+    pub fn before(&self) -> Before {
+        match (self.turn, self.of(END).next()) {
+            (1, _) => Before::None,
+            (_, Some(_)) => Before::InOrder,
+            (_, None) => Before::CutOff,
+        }
+    }
+}
+
+/// A memory that is being written to.
+pub struct Disk {
+    writer: Writer,
+    /// A word comes here each time the disk has come further, or has failed.
+    pub came: Receiver<()>,
+}
+
+impl Disk {
+    /// Opens the memory of a process in a folder of its name, beneath the folder of all.
+    ///
+    /// # Errors
+    /// Why it can't be used, and what an operator can do.
+    pub fn open(all: &Path, who: &Identity) -> Result<(Memory, Recalled), Error> {
+        let folder = all.join(&who.name);
+        let (memory, recalled) = Memory::open(&folder, who)?;
+        let (turn, before) = (recalled.turn, recalled.before());
+        tracing::info!(name = who.name, folder = %folder.display(), turn, ?before, "remembers");
+        Ok((memory, recalled))
+    }
+
+    /// Starts to write.
+    ///
+    /// # Errors
+    /// Where the system gives no thread.
+    pub fn start(memory: Memory) -> Result<Self, Error> {
+        let (send, came) = async_channel::bounded(1);
+        // A word that waits already says the same.
+        let writer = Writer::start(memory, move |_| {
+            let _ = send.try_send(());
+        })?;
+        let mut first = Batch::default();
+        first.remove(END, "");
+        writer.write(first);
+        Ok(Self { writer, came })
+    }
+
+    /// Hands in a batch; the number of the batch that all said so far rests on.
+    pub fn write(&self, batch: Batch) -> u64 {
+        self.writer.write(batch)
+    }
+
+    /// All batches up to this number are safe.
+    pub fn safe(&self) -> u64 {
+        self.writer.progress().safe
+    }
+
+    /// Why nothing can be written now.
+    pub fn trouble(&self) -> Option<String> {
+        self.writer.progress().trouble
+    }
+
+    /// Syncs so far.
+    pub fn syncs(&self) -> u64 {
+        self.writer.progress().syncs
+    }
+
+    /// The last word of a process that ends in order.
+    pub fn end(&self) {
+        let mut last = Batch::default();
+        // A few bytes, far below the bound.
+        drop(last.put(END, "", b"in order".to_vec()));
+        self.writer.write(last);
+        if !self.writer.flush(FLUSH) {
+            tracing::error!("ends before the disk has taken all; what was acknowledged is safe");
+        }
+    }
+}
--- a/crates/edge/src/desk.rs
+++ b/crates/edge/src/desk.rs
@@ -4,75 +4,22 @@
 //! lost, falls silent or answers late; and that a task is with at most one planner at a time.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::hash::Hasher;
 use tidespur_api::task::Ask;
-use tidespur_link::{End, Found, ToEdge, ToPlanner};
+use tidespur_link::{Found, ToPlanner};
 use tidespur_waiting::Code;
 
-/// A connection to a planner.
-pub type PlannerId = u64;
+mod deal;
+mod due;
+mod planners;
+mod words;
 
-/// Bounds and times.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Open tasks that one planner may hold.
-    pub planner_most: usize,
-    /// Tasks of one service go to one planner while that is up.
-    pub one_home: bool,
-    /// A planner answers by the deadline; so much later the edge does.
-    pub answer_slack: f64,
-    /// Waits so long for planners to say where a task is.
-    pub locate_for: f64,
-    /// A planner that has not taken a task within this is passed over until it speaks.
-    pub take_within: f64,
-}
+pub use words::{Action, Event, Settings};
 
-/// What the desk is told.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A task to place, when its owner gives up, and whether a second start does no harm.
-    Submit(Ask, f64, bool),
-    /// A task that runs at this node already.
-    Adopt(Ask, String),
-    /// Nobody wants the task any more.
-    Cancel(String),
-    /// Whatever runs of this request is to be stopped.
-    Reap(String),
-    /// Where is this task?
-    Locate {
-        /// Its uid.
-        uid: String,
-        /// Namespace.
-        tenant: String,
-        /// Name at nodes.
-        name: String,
-    },
-    /// A planner is here.
-    PlannerUp(PlannerId),
-    /// A planner is lost.
-    PlannerLost(PlannerId),
-    /// A planner says this.
-    Said(PlannerId, ToEdge),
-}
+/// A connection to a planner.
+pub type PlannerId = u64;
 
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// A message to a planner.
-    Tell(PlannerId, ToPlanner),
-    /// The task's one answer: a node has it.
-    Placed(String, String),
-    /// The task's one answer: not placed, never ran.
-    Refused(String, String),
-    /// The task's one answer: no claim whether it ran.
-    Failed(String, String),
-    /// A placed task runs.
-    Runs(String),
-    /// A placed task ended.
-    Ended(String, End),
-    /// Answer to `Locate`.
-    Located(String, Found),
-}
+/// What is unwanted is told to planners that come within this.
+const UNWANTED_FOR: f64 = 120.0;
 
 #[derive(Clone, Debug, PartialEq)]
 enum Stage {
@@ -121,6 +68,8 @@
     queue: VecDeque<String>,
     planners: BTreeMap<PlannerId, Planner>,
     questions: BTreeMap<String, Question>,
+    /// Requests of which nothing may run any more, and until when planners that come are told so.
+    unwanted: BTreeMap<String, f64>,
     /// Unanswered tasks.
     open: usize,
 }
@@ -134,6 +83,7 @@
             queue: VecDeque::new(),
             planners: BTreeMap::new(),
             questions: BTreeMap::new(),
+            unwanted: BTreeMap::new(),
             open: 0,
         }
     }
@@ -177,6 +127,7 @@
         self.overdue(now, out);
         self.hand_out(now, out);
         self.close_questions(now, out);
+        self.unwanted.retain(|_, until| now < *until);
     }
 
     /// When to step next though nothing happens.
@@ -220,7 +171,15 @@
                     Stage::Placed(None, _) => self.tell_all(&ToPlanner::Stop { uid }, out),
                 }
             }
-            Event::Reap(uid) => self.tell_all(&ToPlanner::Stop { uid }, out),
+            Event::Reap(uid) => self.reap(now, uid, out),
+            Event::Cut(ask, true) => {
+                self.reap(now, ask.uid.clone(), out);
+                let why = "the edge ended while a planner had it; a second start does no harm";
+                out.push(Action::Refused(ask.uid, why.into()));
+            }
+            Event::Cut(ask, false) => {
+                out.push(Action::Failed(ask.uid, "the edge ended while a planner had it".into()));
+            }
             Event::Locate { uid, tenant, name } => {
                 let waiting: Vec<PlannerId> = self.planners.keys().copied().collect();
                 let ask = ToPlanner::Locate { uid: uid.clone(), tenant: tenant.clone(), name: name.clone() };
@@ -230,6 +189,8 @@
             }
             Event::PlannerUp(planner) => {
                 self.planners.insert(planner, Planner::default());
+                let unwanted = self.unwanted.keys().map(|uid| ToPlanner::Stop { uid: uid.clone() });
+                out.extend(unwanted.map(|stop| Action::Tell(planner, stop)));
                 let unheard = |task: &Task| matches!(task.stage, Stage::Placed(None, _));
                 let orphans: Vec<String> =
                     self.tasks.iter().filter(|(_, task)| unheard(task)).map(|(uid, _)| uid.clone()).collect();
@@ -241,286 +202,14 @@
                     out.push(Action::Tell(planner, ToPlanner::Locate { uid: uid.clone(), tenant, name }));
                 }
             }
-            Event::PlannerLost(planner) => self.lost(planner, out),
+            Event::PlannerLost(planner) => self.lost(now, planner, out),
             Event::Said(planner, message) => self.said(now, planner, message, out),
         }
     }
 
-    /// What a lost planner had been told to place may have been offered: it fails, which promises nothing, or is
-    /// refused where a second start does no harm, and what may run of it is stopped. What it had not been told to
-    /// place goes to another. What nodes run is handed to another planner, and stays as it is where there is none.
-    fn lost(&mut self, planner: PlannerId, out: &mut Vec<Action>) {
-        if self.planners.remove(&planner).is_none() {
-            return;
-        }
-        let (mut back, mut unclear, mut placed) = (vec![], vec![], vec![]);
-        for (uid, task) in &self.tasks {
-            match &task.stage {
-                Stage::Asked(p, _) if *p == planner => back.push(uid.clone()),
-                Stage::With(p) if *p == planner => unclear.push(uid.clone()),
-                Stage::Placed(Some(p), _) if *p == planner => placed.push(uid.clone()),
-                _ => {}
-            }
-        }
-        back.iter().for_each(|uid| self.take_back(uid));
-        for uid in unclear {
-            let safe = self.close(&uid).is_some_and(|task| task.safe);
-            if safe {
-                self.tell_all(&ToPlanner::Stop { uid: uid.clone() }, out);
-                let why = "the planner that had it was lost; a second start does no harm";
-                out.push(Action::Refused(uid, why.into()));
-            } else {
-                out.push(Action::Failed(uid, "the planner that had it was lost".into()));
-            }
-        }
-        for uid in placed {
-            if let Some(task) = self.tasks.get_mut(&uid)
-                && let Stage::Placed(by, _) = &mut task.stage
-            {
-                *by = None;
-            }
-            self.bind(&uid, out);
-        }
-        for question in self.questions.values_mut() {
-            if let Some(place) = question.waiting.iter().position(|p| *p == planner) {
-                // It took with it what it might have known.
-                question.waiting.swap_remove(place);
-                question.best = worse(question.best.clone(), Found::Unclear);
-            }
-        }
-    }
-
-    /// A task that its planner was not told to place stands first in the queue again.
-    fn take_back(&mut self, uid: &str) {
-        let Some(task) = self.tasks.get_mut(uid) else { return };
-        let Stage::Asked(planner, _) = task.stage else { return };
-        task.stage = Stage::Queued;
-        self.queue.push_front(uid.to_owned());
-        if let Some(planner) = self.planners.get_mut(&planner) {
-            planner.open = planner.open.saturating_sub(1);
-        }
-    }
-
-    fn said(&mut self, now: f64, planner: PlannerId, message: ToEdge, out: &mut Vec<Action>) {
-        if let Some(planner) = self.planners.get_mut(&planner) {
-            planner.silent = false;
-        }
-        let (with, placed) = match self.tasks.get(message_uid(&message)).map(|task| &task.stage) {
-            Some(Stage::With(p)) => (*p == planner, false),
-            // It may turn away at once what it can't read as a task.
-            Some(Stage::Asked(p, _)) if matches!(message, ToEdge::Refused { .. }) => (*p == planner, false),
-            Some(Stage::Placed(by, _)) => (false, *by == Some(planner)),
-            _ => (false, false),
-        };
-        match message {
-            ToEdge::Taken { uid } => match self.tasks.get_mut(&uid) {
-                Some(task) if matches!(task.stage, Stage::Asked(p, _) if p == planner) => {
-                    task.stage = Stage::With(planner);
-                    let within = (task.deadline - now).max(0.0);
-                    out.push(Action::Tell(planner, ToPlanner::Go { uid, within }));
-                }
-                // A word on a task that it has already, or that was taken back.
-                Some(task) if task.stage == Stage::With(planner) => {}
-                _ => out.push(Action::Tell(planner, ToPlanner::Stop { uid })),
-            },
-            ToEdge::Placed { uid, node } if with => {
-                self.answered(&uid, planner);
-                if let Some(task) = self.tasks.get_mut(&uid) {
-                    task.stage = Stage::Placed(Some(planner), node.clone());
-                }
-                out.push(Action::Placed(uid, node));
-            }
-            // An answer that comes too late has been given already; what it placed nobody waits for.
-            ToEdge::Placed { uid, .. } if !placed => out.push(Action::Tell(planner, ToPlanner::Stop { uid })),
-            ToEdge::Refused { uid, why, .. } if with => {
-                self.close(&uid);
-                out.push(Action::Refused(uid, why));
-            }
-            ToEdge::Failed { uid, why } if with => {
-                self.close(&uid);
-                out.push(Action::Failed(uid, why));
-            }
-            ToEdge::Runs { uid } if placed => out.push(Action::Runs(uid)),
-            ToEdge::Ended { uid, end } if placed => {
-                self.close(&uid);
-                out.push(Action::Ended(uid, end));
-            }
-            ToEdge::Located { uid, found } => {
-                let Some(question) = self.questions.get_mut(&uid) else { return };
-                if let Some(place) = question.waiting.iter().position(|p| *p == planner) {
-                    question.waiting.swap_remove(place);
-                    question.best = worse(question.best.clone(), found);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn answered(&mut self, uid: &str, planner: PlannerId) {
-        if let Some(planner) = self.planners.get_mut(&planner) {
-            planner.open = planner.open.saturating_sub(1);
-        }
-        if self.tasks.contains_key(uid) {
-            self.open = self.open.saturating_sub(1);
-        }
-    }
-
-    fn close(&mut self, uid: &str) -> Option<Task> {
-        let stage = self.tasks.get(uid)?.stage.clone();
-        match stage {
-            Stage::Asked(planner, _) | Stage::With(planner) => self.answered(uid, planner),
-            Stage::Queued => self.open = self.open.saturating_sub(1),
-            Stage::Placed(..) => {}
-        }
-        self.tasks.remove(uid)
-    }
-
-    /// Gives queued tasks to planners with room.
-    fn hand_out(&mut self, now: f64, out: &mut Vec<Action>) {
-        let mut kept = VecDeque::new();
-        while let Some(uid) = self.queue.pop_front() {
-            let Some(task) = self.tasks.get(&uid).filter(|task| task.stage == Stage::Queued) else {
-                continue;
-            };
-            if now >= task.deadline {
-                continue;
-            }
-            let Some(planner) = self.choose(&task.ask.service, &uid) else {
-                kept.push_back(uid);
-                if self.planners.is_empty() || !self.settings.one_home {
-                    // None has room for this one, so none has for the next.
-                    kept.append(&mut self.queue);
-                }
-                continue;
-            };
-            if let Some(p) = self.planners.get_mut(&planner) {
-                p.open += 1;
-            }
-            let Some(task) = self.tasks.get_mut(&uid) else { continue };
-            task.stage = Stage::Asked(planner, now);
-            let ask = Ask { within: Some(task.deadline - now), ..task.ask.clone() };
-            out.push(Action::Tell(planner, ToPlanner::Place(ask)));
-        }
-        self.queue = kept;
-    }
-
-    /// The planner for a task: the service's home where services have one, else the one with the fewest open tasks.
-    /// Equal ones are taken in turn by a hash, so that at low load all see some traffic and no one's part of what
-    /// cold nodes bear is spent alone.
-    fn choose(&self, service: &str, uid: &str) -> Option<PlannerId> {
-        let room = |p: &&Planner| p.open < self.settings.planner_most;
-        let speaking = || self.planners.iter().filter(|(_, p)| !p.silent);
-        if self.settings.one_home {
-            // Rendezvous hashing: a service moves only when its own home comes or goes.
-            let home = speaking().max_by_key(|(id, _)| rank(service, **id))?;
-            return Some(*home.0).filter(|_| room(&home.1));
-        }
-        let open = speaking().filter(|(_, p)| room(p));
-        open.min_by_key(|(id, p)| (p.open, rank(uid, **id))).map(|(id, _)| *id)
-    }
-
-    /// Finds a planner that tells of a task that runs.
-    fn bind(&mut self, uid: &str, out: &mut Vec<Action>) {
-        let Some(task) = self.tasks.get(uid) else { return };
-        let planner = match self.settings.one_home {
-            true => self.planners.keys().max_by_key(|id| rank(&task.ask.service, **id)),
-            false => self.planners.keys().max_by_key(|id| rank(uid, **id)),
-        };
-        let Some(planner) = planner.copied() else { return };
-        let Some(task) = self.tasks.get_mut(uid) else { return };
-        let Stage::Placed(by, node) = &mut task.stage else { return };
-        *by = Some(planner);
-        out.push(Action::Tell(planner, ToPlanner::InPlace { ask: task.ask.clone(), node: node.clone() }));
-    }
-
-    /// Answers what has no answer at its deadline. A planner that is alive has answered by then, so this is for one
-    /// that hangs without being silent, and for tasks that no planner had room for.
-    fn overdue(&mut self, now: f64, out: &mut Vec<Action>) {
-        let slack = self.settings.answer_slack;
-        let due = |task: &Task| match task.stage {
-            Stage::Queued => now >= task.deadline,
-            Stage::Asked(_, at) => now >= task.deadline.min(at + self.settings.take_within),
-            Stage::With(_) => now >= task.deadline + slack,
-            Stage::Placed(..) => false,
-        };
-        let due: Vec<String> =
-            self.tasks.iter().filter(|(_, task)| due(task)).map(|(uid, _)| uid.clone()).collect();
-        for uid in due {
-            if let Some(Task { stage: Stage::Asked(planner, _), deadline, .. }) = self.tasks.get(&uid) {
-                let (planner, late) = (*planner, now >= *deadline);
-                out.push(Action::Tell(planner, ToPlanner::Stop { uid: uid.clone() }));
-                if let Some(planner) = self.planners.get_mut(&planner) {
-                    planner.silent = true;
-                }
-                if !late {
-                    self.take_back(&uid);
-                    continue;
-                }
-            }
-            match self.close(&uid).map(|task| task.stage) {
-                Some(Stage::Asked(..)) => {
-                    out.push(Action::Refused(uid, "no planner took it in time".into()));
-                }
-                Some(Stage::With(planner)) => {
-                    out.push(Action::Tell(planner, ToPlanner::Stop { uid: uid.clone() }));
-                    out.push(Action::Failed(uid, "its planner gave no answer in time".into()));
-                }
-                _ if self.planners.is_empty() => {
-                    out.push(Action::Refused(uid, "no planner is connected".into()))
-                }
-                _ => out.push(Action::Refused(uid, "no planner had room for it in time".into())),
-            }
-        }
-    }
-
-    fn close_questions(&mut self, now: f64, out: &mut Vec<Action>) {
-        let sure = |q: &Question| matches!(q.best, Found::At(_) | Found::Ended(End::Succeeded));
-        let done = |q: &Question| q.waiting.is_empty() || sure(q) || now >= q.until;
-        let due: Vec<String> =
-            self.questions.iter().filter(|(_, q)| done(q)).map(|(uid, _)| uid.clone()).collect();
-        for uid in due {
-            let Some(question) = self.questions.remove(&uid) else { continue };
-            let silent = !question.waiting.is_empty() || self.planners.is_empty();
-            let found = if silent && !sure(&question) { Found::Unclear } else { question.best };
-            out.push(Action::Located(uid, found));
-        }
-    }
-
-    fn tell_all(&self, message: &ToPlanner, out: &mut Vec<Action>) {
-        out.extend(self.planners.keys().map(|planner| Action::Tell(*planner, message.clone())));
-    }
-}
-
-/// Of two words on where a task is, the one that binds: that it runs before that it ended, that before doubt, and
-/// doubt before that it is nowhere.
-fn worse(a: Found, b: Found) -> Found {
-    let rank = |found: &Found| match found {
-        Found::At(_) => 4,
-        Found::Ended(End::Succeeded) => 3,
-        Found::Unclear => 2,
-        Found::Ended(_) => 1,
-        Found::Nowhere => 0,
-    };
-    if rank(&b) > rank(&a) { b } else { a }
-}
-
-fn rank(service: &str, planner: PlannerId) -> u64 {
-    let mut hasher = fnv::FnvHasher::default();
-    hasher.write(service.as_bytes());
-    hasher.write_u64(planner);
-    // FNV mixes its last bytes little; one multiplication spreads them.
-    hasher.finish().wrapping_mul(0x9e37_79b9_7f4a_7c15)
-}
-
-fn message_uid(message: &ToEdge) -> &str {
-    match message {
-        ToEdge::Taken { uid }
-        | ToEdge::Placed { uid, .. }
-        | ToEdge::Refused { uid, .. }
-        | ToEdge::Failed { uid, .. }
-        | ToEdge::Runs { uid }
-        | ToEdge::Ended { uid, .. }
-        | ToEdge::Located { uid, .. } => uid,
-        ToEdge::Hello { .. } | ToEdge::Ping | ToEdge::Waits(_) => "",
+    /// Whatever runs of a request is stopped, by planners that come soon as well: after a return none is here yet.
+    fn reap(&mut self, now: f64, uid: String, out: &mut Vec<Action>) {
+        self.tell_all(&ToPlanner::Stop { uid: uid.clone() }, out);
+        self.unwanted.insert(uid, now + UNWANTED_FOR);
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,9 +7,14 @@
 pub mod desk;
 mod garbage;
 mod hooks;
+pub mod keep;
+mod links;
+mod memory;
 mod metrics;
+mod options;
 mod pods;
 pub mod run;
 mod waits;
 
-pub use run::{Options, run};
+pub use options::Options;
+pub use run::run;
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -3,72 +3,44 @@
 use crate::core::{Core, Input};
 use crate::desk::PlannerId;
 use crate::hooks::EdgeHooks;
+use crate::memory::{self, Disk, Shared};
+use crate::options::Options;
 use crate::waits::lock;
 use async_channel::{Receiver, Sender};
 use serde_json::json;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use tidespur_api::resource::NAMESPACES;
 use tidespur_config::Config;
+use tidespur_durable::Outbox;
 use tidespur_fleet::{Facts, Role};
-use tidespur_fleet_net::Member;
-use tidespur_link::{ToEdge, ToPlanner};
-use tidespur_net::follow::{Followed, follow};
-use tidespur_net::{Client, Recorder, clock, frames, server};
+use tidespur_fleet_net::{Ending, Member, told_to_end};
+use tidespur_link::ToPlanner;
+use tidespur_net::{Client, Recorder, clock, server};
 use tidespur_pressure::Pressure;
 use tidespur_rest::{Api, Limits, Served};
-use tidespur_store::Store;
-
-/// What the program is started with.
-#[derive(Clone, Debug, clap::Args)]
-pub struct Options {
-    /// Settings (HCL); without it the built-in ones hold
-    #[arg(long)]
-    pub config: Option<PathBuf>,
-    /// Address of the API
-    #[arg(long, default_value = "127.0.0.1:8001")]
-    pub api: String,
-    /// Address of the link that planners connect to
-    #[arg(long, default_value = "127.0.0.1:8002")]
-    pub link: String,
-    /// Address of the register of nodes
-    #[arg(long)]
-    pub register: String,
-    /// Name of this edge in logs
-    #[arg(long, default_value = "edge-0")]
-    pub name: String,
-    /// What its chance is drawn from
-    #[arg(long, default_value_t = 1)]
-    pub seed: u64,
-    /// Record what crosses its sockets in this file
-    #[arg(long)]
-    pub record: Option<PathBuf>,
-    /// How it joins a fleet
-    #[command(flatten)]
-    pub fleet: tidespur_fleet_net::Joining,
-}
 
 /// Inputs that may wait for the core.
 const INPUTS_MOST: usize = 16_384;
 /// Inputs that are taken into one step.
 const STEP_MOST: usize = 512;
 /// Silence after which the register's watch counts as lost.
-const SILENCE: f64 = 1.6;
+pub(crate) const SILENCE: f64 = 1.6;
 /// The fleet is told how this edge stands this often.
 const TELL: f64 = 1.0;
 /// How far the edge is behind its work is measured this often.
 const MARK: f64 = 0.1;
 
-struct Loop {
-    config: Config,
-    options: Options,
-    inputs: Sender<Input>,
-    api: Arc<Api<EdgeHooks>>,
-    planners: Mutex<BTreeMap<PlannerId, Sender<ToPlanner>>>,
-    recorder: Recorder,
+pub(crate) struct Loop {
+    pub(crate) config: Config,
+    pub(crate) options: Options,
+    pub(crate) inputs: Sender<Input>,
+    pub(crate) api: Arc<Api<EdgeHooks>>,
+    pub(crate) planners: Mutex<BTreeMap<PlannerId, Sender<ToPlanner>>>,
+    pub(crate) recorder: Recorder,
+    pub(crate) disk: Shared,
 }
 
 /// Runs the edge until the process ends. `ready` is called with the addresses of API, link and, where it joins a
@@ -89,9 +61,18 @@
         objects: config.edge.objects_most as usize,
         ..tidespur_store::Limits::default()
     };
-    // Versions begin at the clock, above all that an earlier run may have handed out: a watch that comes back with
-    // an old one is told 410 and lists anew.
-    let mut store = Store::new(limits, options.seed ^ clock::now().to_bits(), (clock::now() * 1000.0) as u64);
+    let remembered = memory::open(&config, &options)?;
+    let mut store =
+        memory::store(limits, options.seed, clock::now(), remembered.as_ref().map(|(_, back)| back))?;
+    let incarnation = remembered.as_ref().map(|(_, back)| back.incarnation());
+    let mut core = Core::new(config.clone(), options.seed);
+    let disk = match remembered {
+        Some(memory) => Some(Arc::new(Disk::start(memory, clock::now(), &mut core, &mut store)?)),
+        None => {
+            core.forgetful();
+            None
+        }
+    };
     let spaces = ["default".to_owned()].into_iter().chain(config.tenant.keys().cloned());
     for space in spaces {
         let object = json!({"kind": "Namespace", "apiVersion": "v1", "metadata": {"name": space},
@@ -100,9 +81,10 @@
         drop(store.create(NAMESPACES, object, clock::now()));
     }
     let facts = Facts { api: api_address.clone(), link: link_address.clone(), ..Facts::of(Role::Edge) };
-    let member = Member::join(&config, &options.fleet, &options.name, facts.clone(), options.seed).await?;
+    let member =
+        Member::join(&config, &options.fleet, &options.name, facts.clone(), options.seed, incarnation);
+    let member = member.await?;
     let member = member.map(Arc::new);
-    let core = Core::new(config.clone(), options.seed);
     let (send, receive) = async_channel::bounded(INPUTS_MOST);
     let hooks = EdgeHooks {
         classes: config.class.keys().cloned().collect(),
@@ -115,6 +97,7 @@
         ledger: core.ledger(),
         behind: AtomicU64::new(0),
         member: member.clone(),
+        disk: disk.clone(),
         pressure: Mutex::new(Pressure::of(config.class.values().map(|class| (class.aim, class.worth)))),
     };
     let limits = Limits {
@@ -135,6 +118,7 @@
         api: api.clone(),
         planners: Mutex::default(),
         recorder,
+        disk,
     });
     smol::spawn(this.clone().accept(link_listener)).detach();
     smol::spawn(this.clone().follow_register()).detach();
@@ -142,20 +126,47 @@
     smol::spawn(async move { server::serve(api_listener, served, Arc::new(Served(api))).await }).detach();
     tracing::info!(edge = this.options.name, api = api_address, link = link_address, "started");
     let mut addresses = vec![api_address, link_address];
-    if let Some(member) = member {
-        addresses.push(member.address.to_string());
-        smol::spawn(this.clone().keep_fleet(member, facts)).detach();
-    }
+    addresses.extend(member.as_ref().map(|member| member.address.to_string()));
     ready(&addresses);
-    this.turn(core, receive).await;
-    Ok(())
+    let ended = async {
+        match member {
+            Some(member) => this.clone().keep_fleet(member, facts).await,
+            // What is remembered is closed in order; without a memory nothing is.
+            None if this.disk.is_some() => told_to_end().await.unwrap_or(Ending::Told),
+            None => std::future::pending().await,
+        }
+    };
+    let turned = async {
+        this.turn(core, receive).await;
+        Ending::Told
+    };
+    let ending = smol::future::or(ended, turned).await;
+    if let Some(disk) = &this.disk {
+        disk.disk.end();
+    }
+    ending.result()
+}
+
+/// What the loop says, to a planner or to those who wait for a version.
+enum Word {
+    Tell(PlannerId, Box<ToPlanner>),
+    Show(u64),
 }
 
 impl Loop {
     async fn turn(&self, mut core: Core, inputs: Receiver<Input>) {
+        let mut outbox = Outbox::default();
+        let mut shown = self.api.store().version();
         loop {
             let wake = core.next_wake().unwrap_or(f64::INFINITY);
-            let mut batch = match clock::within(wake - clock::now(), inputs.recv()).await {
+            let came = async {
+                match &self.disk {
+                    Some(disk) => disk.disk.came.recv().await.map(|()| Input::Kick),
+                    None => std::future::pending().await,
+                }
+            };
+            let heard = smol::future::or(inputs.recv(), came);
+            let mut batch = match clock::within(wake - clock::now(), heard).await {
                 Some(Ok(input)) => vec![input],
                 Some(Err(_)) => return,
                 None => vec![],
@@ -172,34 +183,65 @@
             }
             let mut out = Vec::new();
             let mut store = self.api.store();
-            let version = store.version();
             core.step(clock::now(), batch, &mut store, &mut out);
-            let changed = store.version() != version;
+            let version = store.version();
+            let kept = self.disk.as_ref().map(|disk| (disk, core.remember(&mut store)));
             drop(store);
             self.api.hooks.open.store(core.open(), Ordering::Relaxed);
             self.api.hooks.behind.store(core.behind(), Ordering::Relaxed);
             self.api.hooks.planners.store(core.planners(), Ordering::Relaxed);
-            let Ok(planners) = self.planners.lock() else { return };
+            let Some((disk, (batch, problems))) = kept else {
+                out.into_iter().for_each(|(planner, message)| self.tell(planner, message));
+                if std::mem::replace(&mut shown, version) != version {
+                    self.api.ring();
+                }
+                continue;
+            };
+            for problem in problems {
+                tracing::error!(edge = self.options.name, %problem, "can't be kept");
+            }
+            let rests_on = disk.disk.write(batch);
             for (planner, message) in out {
-                // A full queue means that the planner reads nothing: its link ends, and its tasks with it.
-                if let Some(send) = planners.get(&planner)
-                    && send.try_send(message).is_err()
-                {
-                    send.close();
+                match message {
+                    // It may be taken back: nothing is offered before `Go`, which waits.
+                    ToPlanner::Place(_) => self.tell(planner, message),
+                    message => outbox.hold(rests_on, Word::Tell(planner, Box::new(message))),
                 }
             }
-            drop(planners);
-            if changed {
-                self.api.ring();
+            if std::mem::replace(&mut shown, version) != version {
+                outbox.hold(rests_on, Word::Show(version));
+            }
+            for word in outbox.release(disk.disk.safe()) {
+                match word {
+                    Word::Tell(planner, message) => self.tell(planner, *message),
+                    Word::Show(version) => {
+                        self.api.store().show(version);
+                        disk.show(version);
+                        self.api.ring();
+                    }
+                }
             }
         }
     }
 
+    fn tell(&self, planner: PlannerId, message: ToPlanner) {
+        let planners = lock(&self.planners);
+        // A full queue means that the planner reads nothing: its link ends, and its tasks with it.
+        if let Some(send) = planners.get(&planner)
+            && send.try_send(message).is_err()
+        {
+            send.close();
+        }
+    }
+
     /// Tells the fleet how this edge stands; ends with the member.
-    async fn keep_fleet(self: Arc<Self>, member: Arc<Member>, mut facts: Facts) {
+    async fn keep_fleet(self: Arc<Self>, member: Arc<Member>, mut facts: Facts) -> Ending {
         loop {
-            member.news_within(TELL).await;
-            facts.open = u32::try_from(self.api.hooks.open.load(Ordering::Relaxed)).unwrap_or(u32::MAX);
+            if let Some(ending) = member.news_within(TELL).await {
+                return ending;
+            }
+            let open = self.api.hooks.open.load(Ordering::Relaxed);
+            facts.open = Some(u32::try_from(open).unwrap_or(u32::MAX));
             member.tell(facts.clone());
         }
     }
@@ -210,73 +252,4 @@
             clock::sleep(MARK).await;
         }
     }
-
-    async fn accept(self: Arc<Self>, listener: TcpListener) {
-        let mut next: PlannerId = 0;
-        loop {
-            match listener.accept().await {
-                Ok((socket, peer)) => {
-                    next += 1;
-                    let (this, id) = (self.clone(), next);
-                    smol::spawn(async move {
-                        let ended = this.serve_planner(id, socket).await;
-                        tracing::info!(edge = this.options.name, %peer, ?ended, "a planner's link ended");
-                        if let Ok(mut planners) = this.planners.lock() {
-                            planners.remove(&id);
-                        }
-                        let _ = this.inputs.send(Input::PlannerLost(id)).await;
-                    })
-                    .detach();
-                }
-                Err(problem) => {
-                    tracing::warn!(%problem, "a planner can't be accepted");
-                    clock::sleep(0.05).await;
-                }
-            }
-        }
-    }
-
-    async fn serve_planner(&self, id: PlannerId, socket: TcpStream) -> Result<(), String> {
-        socket.set_nodelay(true).map_err(|e| e.to_string())?;
-        let patience = self.config.edge.planner_patience;
-        let mut reader = frames::FrameReader::new(socket.clone());
-        let first = clock::within(patience, reader.next::<ToEdge>()).await.ok_or("no Hello in time")??;
-        let Some(ToEdge::Hello { planner, ordinal }) = first else {
-            return Err(format!("its first message is no Hello: {first:?}"));
-        };
-        tracing::info!(edge = self.options.name, planner, ordinal, "a planner is here");
-        let (send, queue) = async_channel::bounded(frames::QUEUE_MOST);
-        send.try_send(ToPlanner::Welcome { edge: self.options.name.clone() }).map_err(|e| e.to_string())?;
-        self.planners.lock().map_err(|e| e.to_string())?.insert(id, send.clone());
-        self.inputs.send(Input::PlannerUp(id)).await.map_err(|e| e.to_string())?;
-        let read = |message| {
-            if message == ToEdge::Ping {
-                return None;
-            }
-            if matches!(message, ToEdge::Waits(_)) {
-                return Some(Input::Said(id, message));
-            }
-            self.recorder.note("planner", || json!({"planner": planner, "message": format!("{message:?}")}));
-            Some(Input::Said(id, message))
-        };
-        let link = frames::Link { queue, send, ping: ToPlanner::Ping };
-        frames::keep(socket, reader, link, patience, read, &self.inputs).await
-    }
-
-    async fn follow_register(self: Arc<Self>) {
-        loop {
-            let why = self.watch_register().await;
-            tracing::warn!(edge = self.options.name, why, "the watch on the register ended");
-            clock::sleep(0.5).await;
-        }
-    }
-
-    async fn watch_register(&self) -> String {
-        let client = Client::new(&self.options.register, 2, vec![]);
-        let read = |followed| match followed {
-            Followed::Whole(nodes) => Input::Nodes(nodes),
-            Followed::Change(node, deleted) => Input::Node(node, deleted),
-        };
-        follow(&client, "/api/v1/nodes", 2.0, SILENCE, read, &self.inputs).await
-    }
 }
--- a/crates/fleet-net/src/lib.rs
+++ b/crates/fleet-net/src/lib.rs
@@ -2,9 +2,9 @@
 
 use async_channel::{Receiver, Sender};
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use serde_json::{Value, json};
 use smol::net::UdpSocket;
+use smol::stream::StreamExt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -43,7 +43,8 @@
 }
 
 impl Member {
-    /// Joins the fleet, where one is set up; `None` where none is.
+    /// Joins the fleet, where one is set up; `None` where none is. `incarnation` is what the process remembers of its
+    /// starts, where it remembers.
     ///
     /// # Errors
     /// What keeps it from joining.
@@ -53,6 +54,7 @@
         name: &str,
         facts: Facts,
         seed: u64,
+        incarnation: Option<u64>,
     ) -> Result<Option<Self>, String> {
         if config.fleet.is_none() && options.fleet_listen.is_none() && options.fleet_join.is_empty() {
             return Ok(None);
@@ -65,7 +67,9 @@
         }
         let socket = UdpSocket::bind(&listen).await.map_err(|e| format!("{listen}: no datagrams: {e}"))?;
         let address = socket.local_addr().map_err(|e| e.to_string())?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let clock = || SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        // A clock may be set back; what a process remembers of its starts may not.
+        let born = incarnation.unwrap_or_else(clock);
         let own = Id { name: name.to_owned(), address, born, turn: 0 };
         let settings = Settings {
             cluster: block.cluster,
@@ -93,20 +97,19 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner).view()
     }
 
-    /// Waits for news, this long at most; ends the process once it has left in order, on SIGTERM, or a newer process
-    /// has its name.
-    pub async fn news_within(&self, seconds: f64) {
+    /// Waits for news, this long at most; says where the process has to end, and why.
+    pub async fn news_within(&self, seconds: f64) -> Option<Ending> {
         // The member's loop ends for nothing else.
         let news = clock::within(seconds, self.news.recv()).await;
         if !matches!(news, Some(Ok(Output::Replaced(_)) | Err(_))) {
-            return;
+            return None;
         }
         if self.leaving.load(Ordering::Relaxed) {
             tracing::info!(address = %self.address, "ends: told to, and the fleet was told");
-            std::process::exit(0);
+            return Some(Ending::Told);
         }
         tracing::error!(address = %self.address, "ends: a newer process has its name");
-        std::process::exit(1);
+        Some(Ending::Replaced)
     }
 
     /// What this member tells of itself from now on.
@@ -116,6 +119,38 @@
     }
 }
 
+/// Why a process has to end. Its loop finishes what is owed and returns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It was told to, and the fleet knows.
+    Told,
+    /// A newer process has its name.
+    Replaced,
+}
+
+impl Ending {
+    /// What the program's end says of it.
+    ///
+    /// # Errors
+    /// Where somebody should look at it.
+    pub fn result(self) -> Result<(), String> {
+        match self {
+            Self::Told => Ok(()),
+            Self::Replaced => Err("a newer process has this one's name".into()),
+        }
+    }
+}
+
+/// Waits for SIGTERM; for a process that is in no fleet.
+///
+/// # Errors
+/// Where the system lets nobody wait for it.
+pub async fn told_to_end() -> Result<Ending, String> {
+    let mut signals = Signals::new([Signal::Term]).map_err(|e| format!("signals: {e}"))?;
+    while signals.next().await.is_none() {}
+    Ok(Ending::Told)
+}
+
 /// On SIGTERM the fleet is told that this member leaves.
 async fn leave(mut signals: Signals, leaving: Arc<AtomicBool>, tell: Sender<Input>) {
     if signals.next().await.is_some() {
@@ -148,7 +183,7 @@
             }
         };
         let asked = async { told.recv().await.ok() };
-        let first = clock::within(wake - clock::now(), futures(came, asked)).await.flatten();
+        let first = clock::within(wake - clock::now(), smol::future::or(came, asked)).await.flatten();
         let mut inputs: Vec<Input> = first.into_iter().collect();
         while inputs.len() < STEP_MOST {
             // What has come already is read before time goes on.
@@ -181,14 +216,6 @@
     }
 }
 
-/// Whichever comes first.
-async fn futures(
-    a: impl Future<Output = Option<Input>>,
-    b: impl Future<Output = Option<Input>>,
-) -> Option<Input> {
-    smol::future::or(a, b).await
-}
-
 fn say(member: &str, output: &Output, unsaid: u64) {
     match output {
         Output::Joined(who) => tracing::info!(member, who, unsaid, "a member joined"),
@@ -212,8 +239,7 @@
             "turn": seen.id.turn, "state": seen.standing.word(), "for": (now - seen.since).max(0.0),
             "role": facts.map(|facts| facts.role.word()), "zone": facts.map(|facts| facts.zone.as_str()),
             "api": facts.map(|facts| facts.api.as_str()), "link": facts.map(|facts| facts.link.as_str()),
-            "open": facts.map(|facts| facts.open), "behindMs": facts.map(|facts| facts.behind),
-            "factsAge": facts.map(|_| (now - seen.told_at).max(0.0))})
+            "open": facts.and_then(|facts| facts.open), "factsAge": facts.map(|_| (now - seen.told_at).max(0.0))})
     };
     let drops: serde_json::Map<String, Value> =
         view.drops.iter().map(|(why, count)| (format!("{why:?}").to_lowercase(), (*count).into())).collect();
--- a/crates/fleet/src/facts.rs
+++ b/crates/fleet/src/facts.rs
@@ -33,16 +33,12 @@
     pub role: Role,
     /// Where it stands.
     pub zone: String,
-    /// Where its zone stands.
-    pub region: String,
     /// An edge: the address of its API.
     pub api: String,
     /// An edge: the address that planners link to.
     pub link: String,
-    /// Tasks without an answer.
-    pub open: u32,
-    /// How far its loop is behind its work, in milliseconds.
-    pub behind: u32,
+    /// Tasks without an answer, where it tells them.
+    pub open: Option<u32>,
     /// It ends in order and wants no more work.
     pub leaving: bool,
 }
@@ -51,16 +47,7 @@
     /// Facts of a member that does this, and nothing else yet.
     pub fn of(role: Role) -> Self {
         let none = String::new;
-        Self {
-            role,
-            zone: none(),
-            region: none(),
-            api: none(),
-            link: none(),
-            open: 0,
-            behind: 0,
-            leaving: false,
-        }
+        Self { role, zone: none(), api: none(), link: none(), open: None, leaving: false }
     }
 }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -435,10 +435,7 @@
     /// Another member, or another process of this one's name, is there.
     fn meet(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) -> bool {
         if id.name == self.own.name {
-            let mut state = self.shared.lock();
-            if state.twin.as_ref().is_none_or(|twin| id.age() > twin.age()) {
-                state.twin = Some(id);
-            }
+            self.shared.lock().meet_twin(&id);
             return true;
         }
         self.detector(now, out, |foca, wants| foca.announce(id, wants))
@@ -578,12 +575,12 @@
     /// Forgets those that were lost first where more than as many as may be live are kept. Those that are lost take no
     /// room of the live: forgotten too soon, whoever still believes in them would bring them back.
     fn make_room(&mut self, now: Seconds, out: &mut Vec<Output>) {
-        let gone = self.foca.iter_membership_state().filter(|member| member.state() == State::Down);
-        let mut gone: Vec<Id> = gone.map(|member| member.id().clone()).collect();
-        let over = gone.len().saturating_sub(self.settings.members_most);
+        let gone = || self.foca.iter_membership_state().filter(|member| member.state() == State::Down);
+        let over = gone().count().saturating_sub(self.settings.members_most);
         if over == 0 {
             return;
         }
+        let mut gone: Vec<Id> = gone().map(|member| member.id().clone()).collect();
         let since = |id: &Id| self.members.get(&id.name).map_or(0.0, |seen| seen.since);
         gone.sort_by(|a, b| since(a).total_cmp(&since(b)));
         for id in gone.into_iter().take(over) {
@@ -594,7 +591,7 @@
     /// Tells a random member which facts are known here, a part of the names at a time.
     fn exchange(&mut self, now: Seconds, out: &mut Vec<Output>) {
         self.exchange_at = now - self.stood + EXCHANGE * self.rng.random_range(0.5..1.0);
-        let live: Vec<SocketAddr> = self.foca.iter_members().map(|member| member.id().address).collect();
+        let live = self.live_addresses();
         if live.is_empty() {
             return;
         }
@@ -621,12 +618,15 @@
     /// Another's versions: sends what is newer here, asks for what is newer there.
     fn compare(&mut self, from: &Id, versions: Vec<(String, Version)>, out: &mut Vec<Output>) {
         let (mut newer, mut want) = (Vec::new(), Vec::new());
-        for (name, version) in versions.into_iter().take(ANSWER_MOST * 2) {
-            let here = self.shared.lock().book.version(&name).unwrap_or_default();
-            if here > version {
-                newer.push(name);
-            } else if here < version && name != self.own.name {
-                want.push(name);
+        {
+            let state = self.shared.lock();
+            for (name, version) in versions.into_iter().take(ANSWER_MOST * 2) {
+                let here = state.book.version(&name).unwrap_or_default();
+                if here > version {
+                    newer.push(name);
+                } else if here < version && name != self.own.name {
+                    want.push(name);
+                }
             }
         }
         if !want.is_empty() {
@@ -660,10 +660,14 @@
         }
     }
 
+    fn live_addresses(&self) -> Vec<SocketAddr> {
+        self.foca.iter_members().map(|member| member.id().address).collect()
+    }
+
     /// Asks at addresses from the settings who is there: at once and ever more rarely while alone, and now and then
     /// one that no live member has: two halves that forgot each other meet again there.
     fn ask(&mut self, now: Seconds, out: &mut Vec<Output>) {
-        let live: Vec<SocketAddr> = self.foca.iter_members().map(|member| member.id().address).collect();
+        let live = self.live_addresses();
         let missing = |seed: &&SocketAddr| **seed != self.own.address && !live.contains(seed);
         let missing: Vec<SocketAddr> = self.settings.join.iter().filter(missing).copied().collect();
         let pause = if live.is_empty() {
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -30,6 +30,13 @@
     pub(crate) fn is_own(&self, name: &str) -> bool {
         self.own.as_ref().is_some_and(|own| own.name == name)
     }
+
+    /// Another process of our own name was spoken of, or spoke itself.
+    pub(crate) fn meet_twin(&mut self, id: &Id) {
+        if self.twin.as_ref().is_none_or(|twin| id.age() > twin.age()) {
+            self.twin = Some(id.clone());
+        }
+    }
 }
 
 /// A handle on it.
@@ -48,10 +55,7 @@
         }
         let mut state = self.lock();
         if state.is_own(&id.name) {
-            let newer = state.twin.as_ref().is_none_or(|twin| id.age() > twin.age());
-            if newer {
-                state.twin = Some(id.clone());
-            }
+            state.meet_twin(id);
             return Ok(());
         }
         if !state.known.contains(&id.name) {
--- /dev/null
+++ b/crates/planner/src/links.rs
@@ -0,0 +1,123 @@
+//! Links to edges.
+
+use crate::book::EdgeId;
+use crate::core::Input;
+use crate::run::{AGAIN, LINKS_MOST, LOOK, Loop};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tidespur_fleet::{Facts, Role, Standing};
+use tidespur_fleet_net::{Ending, Member};
+use tidespur_link::{ToEdge, ToPlanner};
+use tidespur_net::{clock, frames};
+
+impl Loop {
+    /// Keeps a link to each edge that the fleet lists; ends with the member.
+    pub(crate) async fn keep_fleet(self: Arc<Self>, member: Option<Member>, mut links: Links) -> Ending {
+        let Some(member) = member else {
+            // The links given by hand are kept.
+            return std::future::pending().await;
+        };
+        loop {
+            if let Some(ending) = member.news_within(LOOK).await {
+                return ending;
+            }
+            let view = member.view();
+            let listed = view.live().filter_map(|seen| seen.facts.as_ref());
+            let listed: Vec<&Facts> = listed.filter(|facts| facts.role == Role::Edge).collect();
+            for edge in listed.iter().filter(|edge| !edge.link.is_empty() && !edge.leaving) {
+                links.open(&self, &edge.link, false);
+            }
+            // An edge in whose place nobody is known any more: one that is only lost is dialled on, as the view may be
+            // wrong and a link that works is better evidence.
+            let known: Vec<&str> = view
+                .members
+                .iter()
+                .filter(|seen| seen.standing != Standing::Left)
+                .filter_map(|seen| Some(seen.facts.as_ref()?.link.as_str()))
+                .collect();
+            links.keep(&self, &known);
+        }
+    }
+
+    pub(crate) async fn follow_edge(&self, id: EdgeId, address: &str) {
+        loop {
+            match self.serve_edge(id, address).await {
+                Ok(()) => tracing::info!(planner = self.name, edge = address, "the link ended"),
+                Err(why) => tracing::debug!(planner = self.name, edge = address, why, "no link"),
+            }
+            if let Ok(mut edges) = self.edges.lock() {
+                edges.remove(&id);
+            }
+            let _ = self.inputs.send(Input::EdgeLost(id)).await;
+            clock::sleep(AGAIN).await;
+        }
+    }
+
+    pub(crate) async fn serve_edge(&self, id: EdgeId, address: &str) -> Result<(), String> {
+        let socket = clock::within(1.0, smol::net::TcpStream::connect(address)).await;
+        let socket = socket.ok_or("timed out")?.map_err(|e| e.to_string())?;
+        socket.set_nodelay(true).map_err(|e| e.to_string())?;
+        let (send, queue) = async_channel::bounded(frames::QUEUE_MOST);
+        let hello = ToEdge::Hello { planner: self.name.clone(), ordinal: self.options.ordinal };
+        send.try_send(hello).map_err(|e| e.to_string())?;
+        if let Ok(mut edges) = self.edges.lock() {
+            edges.insert(id, send.clone());
+        }
+        let patience = self.config.planner.edge_patience;
+        let read = |message| {
+            if message == ToPlanner::Ping {
+                return None;
+            }
+            self.recorder.note("heard", || json!({"message": message}));
+            Some(Input::Edge(id, message))
+        };
+        let reader = frames::FrameReader::new(socket.clone());
+        let link = frames::Link { queue, send, ping: ToEdge::Ping };
+        frames::keep(socket, reader, link, patience, read, &self.inputs).await
+    }
+}
+
+/// Links to edges, by address.
+#[derive(Default)]
+pub(crate) struct Links {
+    open: BTreeMap<String, Link>,
+    next: EdgeId,
+}
+
+struct Link {
+    id: EdgeId,
+    by_hand: bool,
+    task: smol::Task<()>,
+}
+
+impl Links {
+    /// Opens a link, unless there is one.
+    pub(crate) fn open(&mut self, to: &Arc<Loop>, address: &str, by_hand: bool) {
+        if self.open.contains_key(address) || self.open.len() >= LINKS_MOST {
+            return;
+        }
+        let (this, id, at) = (to.clone(), self.next, address.to_owned());
+        self.next += 1;
+        let task = smol::spawn(async move { this.follow_edge(id, &at).await });
+        self.open.insert(address.to_owned(), Link { id, by_hand, task });
+    }
+
+    /// Dials edges no more that are not known any more, but for those given by hand. A link that stands is left to
+    /// end by itself: it is better evidence than the view.
+    fn keep(&mut self, of: &Arc<Loop>, known: &[&str]) {
+        let stands = |id: EdgeId| of.edges.lock().is_ok_and(|edges| edges.contains_key(&id));
+        let gone: Vec<String> = self
+            .open
+            .iter()
+            .filter(|(at, link)| !link.by_hand && !known.contains(&at.as_str()) && !stands(link.id))
+            .map(|(at, _)| at.clone())
+            .collect();
+        for address in gone {
+            let Some(Link { id, task, .. }) = self.open.remove(&address) else { continue };
+            drop(task);
+            let this = of.clone();
+            smol::spawn(async move { drop(this.inputs.send(Input::EdgeLost(id)).await) }).detach();
+        }
+    }
+}
--- a/crates/rest/src/handle.rs
+++ b/crates/rest/src/handle.rs
@@ -168,7 +168,11 @@
         (&Method::DELETE, false) => api.delete_collection(target, &options, &body),
         _ => Err(ApiError::method()),
     };
-    answer.map(|(status, object, warnings)| Good::Object(status, object, warnings))
+    let (status, object, mut warnings) = answer?;
+    // Whatever was written or read: nothing is told that a power loss could take back.
+    let version = api.store().version();
+    warnings.extend(api.hooks.lasting(version, head.method != Method::GET).await?);
+    Ok(Good::Object(status, object, warnings))
 }
 
 fn response(status: u16, answer: Result<(Object, Vec<String>), ApiError>) -> Response<Body> {
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -97,6 +97,18 @@
     }
     /// Called after any write, without the lock.
     fn written(&self) {}
+    /// Waits until all up to this version of the store will be there after a power loss; an answer may rest on it then.
+    /// A read that can't wait for that comes back with a warning for its reader.
+    ///
+    /// # Errors
+    /// What is told the writer (`wrote`) instead of an answer.
+    fn lasting(
+        &self,
+        _version: u64,
+        _wrote: bool,
+    ) -> impl Future<Output = Result<Option<String>, ApiError>> + Send {
+        async { Ok(None) }
+    }
     /// Headers for every answer.
     fn headers(&self) -> Vec<(&'static str, String)> {
         vec![]
--- a/crates/rest/src/watch.rs
+++ b/crates/rest/src/watch.rs
@@ -115,10 +115,12 @@
     async fn follow(self: Arc<Self>, mut watch: Watch, mut ready: Vec<u8>) {
         let mut bookmark_at = clock::now() + self.limits.bookmark_every;
         let mut told = watch.cursor.version();
+        // What stood when it began; where it is not safe in time, what follows is all the same.
+        drop(self.hooks.lasting(told, false).await);
         loop {
             let bell = self.bell.listen();
             let mut changes = Vec::new();
-            let polled = self.store().poll(&mut watch.cursor, BATCH, &mut changes);
+            let polled = self.store().poll_shown(&mut watch.cursor, BATCH, &mut changes);
             for change in &changes {
                 watch.show(change, &mut ready);
                 if ready.len() >= PIECE && !self.pass(&watch, &mut ready).await {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod checker;
 pub mod cluster;
+mod layout;
+
 pub mod measure;
 pub mod oracle;
 pub mod play;
@@ -12,4 +14,5 @@
 pub mod simnet;
 pub mod supervisor;
 
-pub use cluster::{Cluster, Layout};
+pub use cluster::Cluster;
+pub use layout::{Layout, Site};
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -1,6 +1,7 @@
 //! Plays a scenario through a cluster of real processes and records it.
 
-use crate::cluster::{Cluster, Layout, fault_at};
+use crate::cluster::{Cluster, fault_at};
+use crate::layout::Layout;
 use crate::scenario::{Kind, Scenario, Trouble, Work};
 use bytes::Bytes;
 use hyper::Method;
--- a/crates/rig/src/simnet.rs
+++ b/crates/rig/src/simnet.rs
@@ -233,8 +233,8 @@
             match output {
                 Output::Send(to, bytes) => self.send(who, to, bytes),
                 Output::Lost(lost) => {
-                    let of = |m: &&Member| m.fleet.as_ref().is_some_and(|f| f.view().own.name == lost);
-                    if self.members.iter().any(|member| of(&member)) {
+                    let runs = |(who, member): (usize, &Member)| member.fleet.is_some() && name(who) == lost;
+                    if self.members.iter().enumerate().any(runs) {
                         self.seen.lost.push((self.now, who, lost.clone()));
                         if !self.disturbed() {
                             self.seen.wrong.push((self.now, who, lost));
--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -29,6 +29,12 @@
         Self { resource, cursor, seen: BTreeMap::new(), behind: 0 }
     }
 
+    /// A reader for which all that stands now is known already, as after a return.
+    pub fn standing(resource: &'static Resource, store: &Store) -> Self {
+        let seen = store.all(resource, "").map(|object| (key(object), object.clone())).collect();
+        Self { resource, cursor: Cursor::new(resource.index, store.version()), seen, behind: 0 }
+    }
+
     /// Whether all that the store holds has been read.
     pub fn current(&self, store: &Store) -> bool {
         self.cursor.version() == store.version()
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod follow;
 mod history;
+mod kept;
 mod list;
+mod write;
 
 pub use follow::Follower;
 pub use history::{Change, ChangeKind, Cursor, Expired};
@@ -15,10 +17,10 @@
 use history::History;
 use imbl::OrdMap;
 use rand::{RngCore, SeedableRng};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use tidespur_api::resource::RESOURCES;
-use tidespur_api::{ApiError, Object, Resource, meta};
+use tidespur_api::{Object, Resource};
 
 /// Where an object stands: index of its resource, namespace, name.
 pub type Key = (usize, String, String);
@@ -59,6 +61,10 @@
     snapshots: VecDeque<(u64, OrdMap<Key, Arc<Object>>)>,
     limits: Limits,
     rng: rand_pcg::Pcg64,
+    /// What was written since it was last taken, where anyone asked for it.
+    unkept: Option<BTreeSet<Key>>,
+    /// Watches see nothing above this version.
+    shown: u64,
 }
 
 impl Store {
@@ -73,6 +79,8 @@
             snapshots: VecDeque::new(),
             limits,
             rng: rand_pcg::Pcg64::seed_from_u64(seed),
+            unkept: None,
+            shown: u64::MAX,
         }
     }
 
@@ -125,92 +133,6 @@
             .map(|(_, object)| object)
     }
 
-    /// Creates an object under `metadata.name`; sets uid, version, generation and time.
-    pub fn create(
-        &mut self,
-        resource: &Resource,
-        mut object: Object,
-        now: f64,
-    ) -> Result<Arc<Object>, ApiError> {
-        let key = key(resource, meta::namespace(&object), meta::name(&object));
-        if self.objects.contains_key(&key) {
-            return Err(ApiError::exists(resource.plural, &key.2));
-        }
-        if self.counts[resource.index] >= self.limits.objects {
-            let text = format!(
-                "{} {} stand already, which is the most that is held",
-                self.limits.objects, resource.plural
-            );
-            return Err(ApiError::too_many(text, 10));
-        }
-        let uid = self.new_uid();
-        meta::set(&mut object, "uid", uid.into());
-        meta::set(&mut object, "creationTimestamp", meta::timestamp(now).into());
-        if object.get("spec").is_some() {
-            meta::set(&mut object, "generation", 1.into());
-        }
-        self.counts[resource.index] += 1;
-        Ok(self.put(resource, key, object, None))
-    }
-
-    /// Replaces an object. What the server sets (uid, time of creation) stays; an equal one is no change.
-    pub fn update(
-        &mut self,
-        resource: &Resource,
-        mut object: Object,
-        expect: &Expect,
-    ) -> Result<Arc<Object>, ApiError> {
-        let key = key(resource, meta::namespace(&object), meta::name(&object));
-        let Some(old) = self.objects.get(&key).cloned() else {
-            return Err(ApiError::not_found(resource.plural, &key.2));
-        };
-        check_expected(resource, &old, expect)?;
-        for field in ["uid", "creationTimestamp", "resourceVersion", "generation", "deletionTimestamp"] {
-            let value = meta::at(&old, &["metadata", field]).clone();
-            match value.is_null() {
-                true => drop(meta::map_mut(&mut object, "metadata").remove(field)),
-                false => meta::set(&mut object, field, value),
-            }
-        }
-        if object == *old {
-            return Ok(old);
-        }
-        if object.get("spec") != old.get("spec") {
-            let generation = meta::at(&old, &["metadata", "generation"]).as_i64().unwrap_or(0);
-            meta::set(&mut object, "generation", (generation + 1).into());
-        }
-        Ok(self.put(resource, key, object, Some(old)))
-    }
-
-    /// Removes an object; the version of its end is in what comes back.
-    pub fn delete(
-        &mut self,
-        resource: &Resource,
-        namespace: &str,
-        name: &str,
-        expect: &Expect,
-    ) -> Result<Arc<Object>, ApiError> {
-        let key = key(resource, namespace, name);
-        let Some(old) = self.objects.get(&key).cloned() else {
-            return Err(ApiError::not_found(resource.plural, name));
-        };
-        check_expected(resource, &old, expect)?;
-        self.objects.remove(&key);
-        self.counts[resource.index] -= 1;
-        self.version += 1;
-        let mut last = (*old).clone();
-        meta::set(&mut last, "resourceVersion", self.version.to_string().into());
-        let last = Arc::new(last);
-        let change = Change {
-            version: self.version,
-            kind: ChangeKind::Deleted,
-            object: last.clone(),
-            before: Some(old),
-        };
-        self.histories[resource.index].push(change);
-        Ok(last)
-    }
-
     /// A cursor that reads what comes after `version`.
     pub fn watch(&self, resource: &Resource, version: u64) -> Result<Cursor, Expired> {
         self.histories[resource.index].check(version)?;
@@ -222,45 +144,19 @@
         self.histories[cursor.resource()].read(cursor, most, self.version, out)
     }
 
+    /// The same, but for what may not be shown yet: see [`Store::show`].
+    pub fn poll_shown(&self, cursor: &mut Cursor, most: usize, out: &mut Vec<Change>) -> Result<(), Expired> {
+        self.histories[cursor.resource()].read(cursor, most, self.version.min(self.shown), out)
+    }
+
     /// Drops all history up to now, as a restart or an operator's compaction would.
     pub fn compact(&mut self) {
         self.histories.iter_mut().for_each(History::clear);
         self.snapshots.clear();
     }
-
-    fn put(
-        &mut self,
-        resource: &Resource,
-        key: Key,
-        mut object: Object,
-        before: Option<Arc<Object>>,
-    ) -> Arc<Object> {
-        self.version += 1;
-        meta::set(&mut object, "resourceVersion", self.version.to_string().into());
-        let object = Arc::new(object);
-        let kind = if before.is_some() { ChangeKind::Modified } else { ChangeKind::Added };
-        self.objects.insert(key, object.clone());
-        let change = Change { version: self.version, kind, object: object.clone(), before };
-        self.histories[resource.index].push(change);
-        object
-    }
 }
 
 fn key(resource: &Resource, namespace: &str, name: &str) -> Key {
     let namespace = if resource.namespaced { namespace } else { "" };
     (resource.index, namespace.to_owned(), name.to_owned())
 }
-
-fn check_expected(resource: &Resource, old: &Object, expect: &Expect) -> Result<(), ApiError> {
-    let name = meta::name(old);
-    if expect.uid.as_deref().is_some_and(|uid| uid != meta::uid(old)) {
-        let why = format!("the uid in the precondition does not match the uid in record: {}", meta::uid(old));
-        return Err(ApiError::conflict(resource.plural, name, &why));
-    }
-    if expect.version.is_some_and(|version| version != meta::version(old)) {
-        let why =
-            "the object has been modified; please apply your changes to the latest version and try again";
-        return Err(ApiError::conflict(resource.plural, name, why));
-    }
-    Ok(())
-}
