--- a/crates/cli/src/up.rs
+++ b/crates/cli/src/up.rs
@@ -145,13 +145,23 @@
     /// Pods that each client places
     #[arg(long, default_value_t = 100)]
     each: usize,
+    /// Measure a second time with a memory beneath this folder, side by side
+    #[arg(long)]
+    data: Option<PathBuf>,
 }
 
 pub fn measure(options: MeasureOptions) -> Result<(), String> {
     let scratch = tempfile::tempdir().map_err(|e| e.to_string())?;
     let mut layout = layout(options.nodes, options.planners, 1)?;
     layout.logs = Some(scratch.path().join("logs"));
-    let figures = tidespur_rig::measure::measure(layout, options.watchers.max(1), options.each.max(1))?;
-    println!("{}", serde_json::to_string_pretty(&figures).map_err(|e| e.to_string())?);
+    let (watchers, each) = (options.watchers.max(1), options.each.max(1));
+    let mut all = vec![tidespur_rig::measure::measure(layout.clone(), watchers, each)?];
+    if let Some(folder) = options.data {
+        layout.data = Some(folder);
+        all.push(tidespur_rig::measure::measure(layout, watchers, each)?);
+    }
+    for figures in all {
+        println!("{}", serde_json::to_string_pretty(&figures).map_err(|e| e.to_string())?);
+    }
     Ok(())
 }
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -13,14 +13,16 @@
 mod memory;
 mod outbox;
 mod process;
+mod recalled;
 mod writer;
 
 pub use batch::{Batch, Record};
 pub use error::Error;
 pub use export::{Export, export};
-pub use memory::{FILE, Identity, Memory, Recalled};
+pub use memory::{FILE, Memory};
 pub use outbox::Outbox;
 pub use process::{Before, Disk};
+pub use recalled::{Identity, Recalled};
 pub use writer::{Progress, Writer};
 
 /// Bytes of one record, key and value; more is refused before it is written.
--- /dev/null
+++ b/crates/edge/examples/recall.rs
@@ -0,0 +1,39 @@
+//! How long an edge takes to come back with so many Pods: `cargo run --release -p tidespur-edge --example recall`.
+
+use serde_json::json;
+use std::time::Instant;
+use tidespur_config::{DEFAULT, parse};
+use tidespur_durable::{Batch, Identity, Memory};
+use tidespur_edge::core::Core;
+use tidespur_store::{Limits, Store};
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("{:>8} {:>10} {:>12} {:>12}", "pods", "MB", "opened in s", "taken up in s");
+    for count in [1_000, 10_000, 100_000] {
+        let folder = tempfile::tempdir()?;
+        let who = Identity { role: "edge".into(), name: "e".into(), cluster: "c".into() };
+        let (mut memory, _) = Memory::open(folder.path(), &who)?;
+        let mut batch = Batch::default();
+        for i in 0..count {
+            let pod = json!({"kind": "Pod", "apiVersion": "v1",
+                "metadata": {"name": format!("p{i}"), "namespace": "default", "uid": format!("uid-{i}"),
+                    "resourceVersion": i.to_string(), "creationTimestamp": "2026-12-02T00:00:00Z"},
+                "spec": {"nodeName": format!("node-{}", i % 500), "priorityClassName": "termin-web",
+                    "containers": [{"name": "main", "resources": {"requests": {"cpu": "500m", "memory": "1Gi"}}}]},
+                "status": {"phase": "Running", "conditions": [{"type": "PodScheduled", "status": "True"}]}});
+            batch.put("object", &format!("pods/default/p{i}"), pod.to_string().into_bytes())?;
+        }
+        memory.write(&batch)?;
+        drop(memory);
+        let size = std::fs::metadata(folder.path().join(tidespur_durable::FILE))?.len() as f64 / 1e6;
+        let start = Instant::now();
+        let (_memory, back) = Memory::open(folder.path(), &who)?;
+        let opened = start.elapsed().as_secs_f64();
+        let config = parse("built-in", DEFAULT)?;
+        let mut store = Store::new(Limits::default(), 1, 1_000_000);
+        Core::new(config, 1).recall(0.0, &back, &mut store)?;
+        let taken = start.elapsed().as_secs_f64() - opened;
+        println!("{count:>8} {size:>10.1} {opened:>12.3} {taken:>12.3}");
+    }
+    Ok(())
+}
--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -204,7 +204,10 @@
     fn text(&self, path: &str) -> Option<String> {
         let (open, planners) = (self.open.load(Ordering::Relaxed), self.planners.load(Ordering::Relaxed));
         let behind = self.behind.load(Ordering::Relaxed);
-        (path == "/metrics").then(|| metrics::text(&lock(&self.ledger), open, planners, behind))
+        (path == "/metrics").then(|| {
+            let disk = self.disk.as_ref().map(|disk| &disk.disk);
+            metrics::text(&lock(&self.ledger), open, planners, behind, disk)
+        })
     }
 
     async fn lasting(&self, version: u64, wrote: bool) -> Result<Option<String>, ApiError> {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod options;
 mod pods;
 pub mod run;
+mod turn;
 mod waits;
 
 pub use options::Options;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -25,7 +25,13 @@
 type Gauges = Family<Labels, Gauge<f64, AtomicU64>>;
 
 /// The text.
-pub(crate) fn text(ledger: &Ledger, open: usize, planners: usize, behind: u64) -> String {
+pub(crate) fn text(
+    ledger: &Ledger,
+    open: usize,
+    planners: usize,
+    behind: u64,
+    disk: Option<&tidespur_durable::Disk>,
+) -> String {
     let mut registry = Registry::with_prefix("tidespur");
     let (tasks, cores, memory) = (Gauges::default(), Gauges::default(), Gauges::default());
     registry.register(
@@ -43,6 +49,16 @@
     plain(&mut registry, "open_tasks", "Tasks without an answer", open as f64);
     plain(&mut registry, "planners", "Planners that are connected", planners as f64);
     plain(&mut registry, "behind", "Times the edge fell behind its own history", behind as f64);
+    if let Some(disk) = disk {
+        let trouble = f64::from(u8::from(disk.trouble().is_some()));
+        plain(
+            &mut registry,
+            "memory_syncs",
+            "Times that the memory was synced to the disk",
+            disk.syncs() as f64,
+        );
+        plain(&mut registry, "memory_trouble", "1 while nothing can be written to the memory", trouble);
+    }
     let unrecorded = ledger.without_record() as f64;
     plain(&mut registry, "waiting_without_record", "Tasks beyond the most records that are kept", unrecorded);
     let mut sums: BTreeMap<(String, String, String, tidespur_waiting::Code), [f64; 3]> = BTreeMap::new();
--- /dev/null
+++ b/crates/edge/src/turn.rs
@@ -0,0 +1,128 @@
+//! One turn of the edge's loop after the other: what came is stepped, what follows is written down, then said.
+
+use crate::core::{Core, Input};
+use crate::desk::PlannerId;
+use crate::run::Loop;
+use crate::waits::lock;
+use async_channel::Receiver;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tidespur_durable::Outbox;
+use tidespur_fleet::Facts;
+use tidespur_fleet_net::{Ending, Member};
+use tidespur_link::ToPlanner;
+use tidespur_net::clock;
+
+/// Inputs that are taken into one step.
+const STEP_MOST: usize = 512;
+/// The fleet is told how this edge stands this often.
+const TELL: f64 = 1.0;
+/// How far the edge is behind its work is measured this often.
+const MARK: f64 = 0.1;
+
+/// What the loop says, to a planner or to those who wait for a version.
+enum Word {
+    Tell(PlannerId, Box<ToPlanner>),
+    Show(u64),
+}
+
+impl Loop {
+    pub(crate) async fn turn(&self, mut core: Core, inputs: Receiver<Input>) {
+        let mut outbox = Outbox::default();
+        let mut shown = self.api.store().version();
+        loop {
+            let wake = core.next_wake().unwrap_or(f64::INFINITY);
+            let came = async {
+                match &self.disk {
+                    Some(disk) => disk.disk.came.recv().await.map(|()| Input::Kick),
+                    None => std::future::pending().await,
+                }
+            };
+            let heard = smol::future::or(inputs.recv(), came);
+            let mut batch = match clock::within(wake - clock::now(), heard).await {
+                Some(Ok(input)) => vec![input],
+                Some(Err(_)) => return,
+                None => vec![],
+            };
+            while batch.len() < STEP_MOST {
+                let Ok(input) = inputs.try_recv() else { break };
+                batch.push(input);
+            }
+            for input in &batch {
+                if let Input::Sent(at) = input {
+                    let now = clock::now();
+                    lock(&self.api.hooks.pressure).mark(now, now - at);
+                }
+            }
+            let mut out = Vec::new();
+            let mut store = self.api.store();
+            core.step(clock::now(), batch, &mut store, &mut out);
+            let version = store.version();
+            let kept = self.disk.as_ref().map(|disk| (disk, core.remember(&mut store)));
+            drop(store);
+            self.api.hooks.open.store(core.open(), Ordering::Relaxed);
+            self.api.hooks.behind.store(core.behind(), Ordering::Relaxed);
+            self.api.hooks.planners.store(core.planners(), Ordering::Relaxed);
+            let Some((disk, (batch, problems))) = kept else {
+                out.into_iter().for_each(|(planner, message)| self.tell(planner, message));
+                if std::mem::replace(&mut shown, version) != version {
+                    self.api.ring();
+                }
+                continue;
+            };
+            for problem in problems {
+                tracing::error!(edge = self.options.name, %problem, "can't be kept");
+            }
+            let rests_on = disk.disk.write(batch);
+            for (planner, message) in out {
+                match message {
+                    // It may be taken back: nothing is offered before `Go`, which waits.
+                    ToPlanner::Place(_) => self.tell(planner, message),
+                    message => outbox.hold(rests_on, Word::Tell(planner, Box::new(message))),
+                }
+            }
+            if std::mem::replace(&mut shown, version) != version {
+                outbox.hold(rests_on, Word::Show(version));
+            }
+            for word in outbox.release(disk.disk.safe()) {
+                match word {
+                    Word::Tell(planner, message) => self.tell(planner, *message),
+                    Word::Show(version) => {
+                        self.api.store().show(version);
+                        disk.show(version);
+                        self.api.ring();
+                    }
+                }
+            }
+        }
+    }
+
+    fn tell(&self, planner: PlannerId, message: ToPlanner) {
+        let planners = lock(&self.planners);
+        // A full queue means that the planner reads nothing: its link ends, and its tasks with it.
+        if let Some(send) = planners.get(&planner)
+            && send.try_send(message).is_err()
+        {
+            send.close();
+        }
+    }
+
+    /// Tells the fleet how this edge stands; ends with the member.
+    pub(crate) async fn keep_fleet(self: Arc<Self>, member: Arc<Member>, mut facts: Facts) -> Ending {
+        loop {
+            if let Some(ending) = member.news_within(TELL).await {
+                return ending;
+            }
+            let open = self.api.hooks.open.load(Ordering::Relaxed);
+            facts.open = Some(u32::try_from(open).unwrap_or(u32::MAX));
+            member.tell(facts.clone());
+        }
+    }
+
+    /// Measures how far the edge is behind its work.
+    pub(crate) async fn mark(self: Arc<Self>) {
+        while self.inputs.send(Input::Sent(clock::now())).await.is_ok() {
+            clock::sleep(MARK).await;
+        }
+    }
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod attempts;
 pub mod book;
+mod carry;
 pub mod core;
 mod links;
 pub mod nodes;
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -28,6 +28,8 @@
     pub busy_p99_ms: f64,
     /// Placements a second under them.
     pub placements_per_s: f64,
+    /// Syncs of the edge's memory for each Pod placed alone, and under them; 0 without a memory.
+    pub syncs_each: [f64; 2],
     /// Watchers.
     pub watchers: usize,
     /// From the write's answer until half of them have the change.
@@ -111,6 +113,15 @@
     line.and_then(|line| line.trim().split(' ').next()?.parse::<f64>().ok()).unwrap_or(f64::NAN) * 1024.0
 }
 
+/// How often the edge's memory was synced.
+async fn syncs(address: &str) -> f64 {
+    let client = Client::new(address, 1, vec![]);
+    let reply = client.send(Method::GET, "/metrics", "", Bytes::new(), 2.0).await;
+    let text = reply.map(|reply| String::from_utf8_lossy(&reply.body).into_owned()).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("tidespur_memory_syncs "));
+    line.and_then(|number| number.trim().parse().ok()).unwrap_or(0.0)
+}
+
 /// Runs all measurements on a fresh cluster.
 pub fn measure(layout: Layout, watchers: usize, each: usize) -> Result<Figures, String> {
     let (nodes, planners) = (layout.nodes, layout.planners);
@@ -120,8 +131,12 @@
         let address = cluster.api(0).to_owned();
         let ms = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1e3;
         run(&address, 1, 20, "warm").await?;
+        let before = syncs(&address).await;
         let (alone, _) = run(&address, 1, each, "alone").await?;
+        let between = syncs(&address).await;
         let (busy, rate) = run(&address, 16, each, "busy").await?;
+        let after = syncs(&address).await;
+        let syncs_each = [(between - before) / each as f64, (after - between) / (16 * each) as f64];
         clock::sleep(2.0).await;
 
         let edge = cluster.edges[0].id().ok_or("the edge has ended")?;
@@ -170,6 +185,7 @@
             busy_p50_ms: ms(&busy, 0.5),
             busy_p99_ms: ms(&busy, 0.99),
             placements_per_s: rate,
+            syncs_each,
             watchers,
             fan_out_p50_ms: (times[times.len() / 2] - at).max(0.0) * 1e3,
             fan_out_last_ms: (times[times.len() - 1] - at).max(0.0) * 1e3,
