Three edges keep the ledger over streams of their own, with relays between them in tests

Package ledger-net: the loop around a voter, one stream between each two (the one that the settings name first dials), words held until what they rest on is on the disk, words of a lost stream dropped. POST instead of a command, as commands wait.

Found by the process tests: two lives of one disk that was set back may count the same openings (a number drawn at each start tells them apart now); an operator's word to a leader that is gone was lost (it is said again until it is in the log).

Seen: 3 edges as processes, 4 rounds of a drawn fault on a stream with a kill, a stop, a power cut of all or resets: no token given twice, none lower after a higher, all vote and one acts after each; a restored disk is barred and taken in again.

--- /dev/null
+++ b/crates/cli/tests/ledger.rs
@@ -0,0 +1,170 @@
+//! Three edges keep the ledger as processes, with a relay on each stream between them; kills, stops, cuts, one-way holds,
+//! slowness and a cut of the power by seed.
+
+mod common;
+
+use common::*;
+use hyper::Method;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+use tidespur_rig::process::Process;
+use tidespur_rig::relay::{Relay, Way};
+
+const SEED: u64 = 1_202;
+
+struct Fleet {
+    edges: Vec<Process>,
+    /// By the pair that dials and is dialled.
+    relays: BTreeMap<(usize, usize), Relay>,
+    folder: tempfile::TempDir,
+}
+
+fn free() -> String {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+}
+
+fn fleet(running: &Running) -> Fleet {
+    let folder = tempfile::tempdir().unwrap();
+    let at: Vec<String> = (0..3).map(|_| free()).collect();
+    let voters: String = at.iter().enumerate().map(|(i, at)| format!("    edge-{i} = \"{at}\"\n")).collect();
+    let config = folder.path().join("config.hcl");
+    let block = format!("ledger {{\n  term = 2\n  voters = {{\n{voters}  }}\n}}\n");
+    std::fs::write(&config, format!("{}\n{block}", tidespur_config::DEFAULT)).unwrap();
+    let mut relays = BTreeMap::new();
+    for i in 0..3 {
+        let mut routes = String::new();
+        for (j, at) in at.iter().enumerate().skip(i + 1) {
+            let relay = smol::block_on(Relay::start(at)).unwrap();
+            routes.push_str(&format!("{at} {}\n", relay.address));
+            relays.insert((i, j), relay);
+        }
+        std::fs::write(folder.path().join(format!("routes-{i}")), routes).unwrap();
+    }
+    let register = &running.cluster.register.addresses[0];
+    let edge = |i: usize| {
+        let at = |name: &str| folder.path().join(name).display().to_string();
+        let line = format!(
+            "edge --api 127.0.0.1:0 --link 127.0.0.1:0 --register {register} --name edge-{i} --config {} \
+             --data {} --routes {}",
+            config.display(),
+            at("data"),
+            at(&format!("routes-{i}"))
+        );
+        let words = line.split_whitespace().map(str::to_owned).collect();
+        let program = env!("CARGO_BIN_EXE_tidespur").into();
+        let log = folder.path().join(format!("edge-{i}.log"));
+        Process::start(&format!("edge-{i}"), program, words, Some(log), true).unwrap()
+    };
+    let edges = (0..3).map(edge).collect();
+    Fleet { edges, relays, folder }
+}
+
+fn ask(edge: &Process, method: Method, path: &str) -> Option<(u16, String)> {
+    let client = tidespur_net::Client::new(edge.addresses.first()?, 1, vec![]);
+    let reply = smol::block_on(client.send(method, path, "", Default::default(), 2.0)).ok()?;
+    Some((reply.status.as_u16(), String::from_utf8_lossy(&reply.body).into_owned()))
+}
+
+fn ledger(edge: &Process) -> Value {
+    let told = ask(edge, Method::GET, "/debug/ledger").map(|(_, text)| text).unwrap_or_default();
+    serde_json::from_str(&told).unwrap_or(Value::Null)
+}
+
+fn acts(edge: &Process) -> Option<u64> {
+    ledger(edge)["leases"][0]["mayActHere"].as_u64()
+}
+
+fn all_vote_and_one_acts(running: &Running, fleet: &Fleet, what: &str) {
+    running.until(what, async || {
+        let votes = fleet.edges.iter().all(|edge| ledger(edge)["standing"] == "voting");
+        (votes && fleet.edges.iter().filter_map(acts).count() == 1).then_some(())
+    });
+}
+
+/// Who was given which token, by the logs of all.
+fn tokens(folder: &Path) -> Vec<(u64, String)> {
+    let mut all = Vec::new();
+    for i in 0..3 {
+        let log = std::fs::read_to_string(folder.join(format!("edge-{i}.log"))).unwrap();
+        for line in log
+            .lines()
+            .filter(|line| line.contains("holds a lease voter") || line.contains("holds a lease \u{1b}"))
+        {
+            let token =
+                line.split("token=").nth(1).and_then(|rest| rest.split_whitespace().next()?.parse().ok());
+            all.extend(token.map(|token| (token, format!("edge-{i}"))));
+        }
+    }
+    all.sort_unstable();
+    all
+}
+
+#[test]
+fn whatever_breaks_between_the_voters_one_acts_at_a_time_and_tokens_rise_over_a_power_cut() {
+    let running = start(1, 1, |_, _| {});
+    let mut fleet = fleet(&running);
+    all_vote_and_one_acts(&running, &fleet, "all vote at first");
+    let mut rng = rand_pcg::Pcg32::seed_from_u64(SEED);
+    let pairs: Vec<(usize, usize)> = fleet.relays.keys().copied().collect();
+    let mut highest = 0;
+    for round in 0..4 {
+        let i = rng.random_range(0..3);
+        let ways = [Way::Cut, Way::HoldThere, Way::HoldBack, Way::Late(0.3), Way::Trickle(400.0)];
+        let pair = pairs[rng.random_range(0..pairs.len())];
+        fleet.relays[&pair].set(ways[rng.random_range(0..ways.len())]);
+        match round % 4 {
+            0 => fleet.edges[i].kill(),
+            1 => fleet.edges[i].pause(true),
+            2 => fleet.edges.iter_mut().for_each(Process::kill),
+            _ => fleet.relays.values().for_each(Relay::reset),
+        }
+        // Seen from outside, at any time: no two of them, whichever is asked first.
+        for _ in 0..15 {
+            let asked: Vec<Option<u64>> =
+                fleet.edges.iter().map(|edge| if edge.id().is_some() { acts(edge) } else { None }).collect();
+            let newest = asked.iter().flatten().max().copied().unwrap_or(0);
+            assert!(newest >= highest || newest == 0, "seed {SEED}, round {round}: {newest} after {highest}");
+            highest = highest.max(newest);
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        fleet.edges[i].pause(false);
+        for edge in &mut fleet.edges {
+            if edge.id().is_none() {
+                edge.restart(&[], true).unwrap();
+            }
+        }
+        fleet.relays.values().for_each(|relay| relay.set(Way::Open));
+        all_vote_and_one_acts(&running, &fleet, &format!("seed {SEED}, round {round} is over"));
+    }
+    let tokens = tokens(fleet.folder.path());
+    assert!(tokens.len() >= 3, "{tokens:?}");
+    for two in tokens.windows(2) {
+        assert!(two[0].0 < two[1].0, "seed {SEED}: a token was given twice: {tokens:?}");
+    }
+}
+
+#[test]
+fn an_edge_with_a_restored_disk_says_that_it_does_not_vote_until_an_operator_takes_it_in_again() {
+    let running = start(1, 1, |_, _| {});
+    let mut fleet = fleet(&running);
+    all_vote_and_one_acts(&running, &fleet, "all vote at first");
+    let file = fleet.folder.path().join("data/edge-2/memory.redb");
+    fleet.edges[2].kill();
+    let older = std::fs::read(&file).unwrap();
+    fleet.edges[2].restart(&[], true).unwrap();
+    all_vote_and_one_acts(&running, &fleet, "it is back");
+    fleet.edges[2].kill();
+    std::fs::write(&file, older).unwrap();
+    fleet.edges[2].restart(&[], true).unwrap();
+    running.until("it is barred", async || (ledger(&fleet.edges[2])["standing"] == "barred").then_some(()));
+    let (status, told) = ask(&fleet.edges[2], Method::GET, "/readyz?verbose").unwrap();
+    assert!(status == 200 && told.contains("[-]ledger") && told.contains("taken in again"), "{told}");
+    // The others go on without it, and know of it.
+    running
+        .until("the others know", async || (ledger(&fleet.edges[0])["asking"][0] == "edge-2").then_some(()));
+    assert_eq!(ask(&fleet.edges[0], Method::POST, "/debug/ledger/readmit/edge-2").unwrap().0, 200);
+    all_vote_and_one_acts(&running, &fleet, "it votes again");
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -139,6 +139,21 @@
         if self.durable.as_ref().is_some_and(|durable| durable.dir.is_empty()) {
             return fail("durable.dir".into(), "the folder beneath which each process has its own is needed");
         }
+        if let Some(ledger) = &self.ledger {
+            if ![1, 3, 5].contains(&ledger.voters.len()) {
+                let what = "1, 3 or 5 voters are needed: an even number bears no more failures";
+                return fail("ledger.voters".into(), what);
+            }
+            for (name, address) in &ledger.voters {
+                let sound = address.parse::<std::net::SocketAddr>().is_ok_and(|at| !at.ip().is_unspecified());
+                if !sound || !tidespur_fleet::name_is_sound(name) {
+                    let what = "a name and the address that the others reach are needed, as edge-0 = \"127.0.0.1:7101\"";
+                    return fail("ledger.voters".into(), what);
+                }
+            }
+            range("ledger.term", ledger.term, 1.0, 600.0)?;
+            range("ledger.drift", ledger.drift, 0.0, 0.2)?;
+        }
         let o = &self.owner;
         range("owner.again_first", o.again_first, 0.01, 3600.0)?;
         range("owner.again_most", o.again_most, o.again_first, 86_400.0)?;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -1,6 +1,6 @@
 //! The settings as they stand in the file. Times are seconds, memory is in units of 1 GiB.
 
-use crate::{DurableBlock, Edge, FleetBlock, Nodes, Owner, Planner, Prices, Safety};
+use crate::{DurableBlock, Edge, FleetBlock, LedgerBlock, Nodes, Owner, Planner, Prices, Safety};
 use indexmap::IndexMap;
 use serde::Deserialize;
 
@@ -36,6 +36,9 @@
     /// The fleet's view; off without it.
     #[serde(default)]
     pub fleet: Option<FleetBlock>,
+    /// The fleet's memory; off without it.
+    #[serde(default)]
+    pub ledger: Option<LedgerBlock>,
     /// What outlives the processes; memory only without it.
     #[serde(default)]
     pub durable: Option<DurableBlock>,
--- a/crates/config/src/sections.rs
+++ b/crates/config/src/sections.rs
@@ -131,6 +131,21 @@
     }
 }
 
+/// Voters by name, with the addresses at which they hear each other, in the order of the settings.
+pub type Voters = indexmap::IndexMap<String, String>;
+
+section! {
+    /// The fleet's memory.
+    LedgerBlock {
+        /// Edges that vote, by name: 1, 3 or 5, the same at all, with the addresses at which they hear each other.
+        voters: Voters = Voters::new(),
+        /// How long a lease holds without being renewed.
+        term: f64 = 6.0,
+        /// How far two clocks may run apart, as a share.
+        drift: f64 = 0.01,
+    }
+}
+
 section! {
     /// The planner.
     Planner {
--- a/crates/durable/src/process.rs
+++ b/crates/durable/src/process.rs
@@ -1,8 +1,9 @@
 //! A memory for as long as its process runs: how the one before it ended, and this one's end in order.
 
 use crate::{Batch, Error, Identity, Memory, Recalled, Writer};
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// What was handed in is waited for this long when the process ends.
@@ -35,8 +36,8 @@
 /// A memory that is being written to.
 pub struct Disk {
     writer: Writer,
-    /// A word comes here each time the disk has come further, or has failed.
-    pub came: Receiver<()>,
+    /// Those who are told each time the disk has come further, or has failed.
+    told: Arc<Mutex<Vec<Sender<()>>>>,
 }
 
 impl Disk {
@@ -57,15 +58,25 @@
     /// # Errors
     /// Where the system gives no thread.
     pub fn start(memory: Memory) -> Result<Self, Error> {
-        let (send, came) = async_channel::bounded(1);
-        // A word that waits already says the same.
+        let told: Arc<Mutex<Vec<Sender<()>>>> = Arc::default();
+        let all = told.clone();
         let writer = Writer::start(memory, move |_| {
-            let _ = send.try_send(());
+            for send in all.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+                // A word that waits already says the same.
+                let _ = send.try_send(());
+            }
         })?;
         let mut first = Batch::default();
         first.remove(END, "");
         writer.write(first);
-        Ok(Self { writer, came })
+        Ok(Self { writer, told })
+    }
+
+    /// A word comes here each time the disk has come further, or has failed.
+    pub fn subscribe(&self) -> Receiver<()> {
+        let (send, came) = async_channel::bounded(1);
+        self.told.lock().unwrap_or_else(PoisonError::into_inner).push(send);
+        came
     }
 
     /// Hands in a batch; the number of the batch that all said so far rests on.
--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -13,6 +13,7 @@
 use tidespur_api::status::Cause;
 use tidespur_api::{ApiError, Object, Resource, meta, names};
 use tidespur_fleet_net::Member;
+use tidespur_ledger_net::Voter;
 use tidespur_net::{Client, NetError, Recorder, clock};
 use tidespur_pressure::Pressure;
 use tidespur_rest::{DeleteOptions, Hooks, Seen, Verb};
@@ -39,6 +40,7 @@
     pub(crate) member: Option<Arc<Member>>,
     pub(crate) pressure: Mutex<Pressure>,
     pub(crate) disk: Shared,
+    pub(crate) voter: Option<Arc<Voter>>,
 }
 
 impl EdgeHooks {
@@ -185,10 +187,36 @@
         }
     }
 
+    fn parts(&self) -> Vec<(&'static str, Result<String, String>)> {
+        let planners = self.planners.load(Ordering::Relaxed);
+        let none =
+            "no planner is connected: nothing is placed; start planners, or look at their --edge or fleet";
+        let mut parts =
+            vec![("planners", if planners > 0 { Ok(planners.to_string()) } else { Err(none.into()) })];
+        let memory = self.disk.as_ref().map(|disk| match disk.disk.trouble() {
+            Some(trouble) => Err(trouble),
+            None => Ok(format!("{} syncs", disk.disk.syncs())),
+        });
+        parts.push(("memory", memory.unwrap_or_else(|| Ok("none: all ends with this process".into()))));
+        parts.extend(self.voter.as_ref().map(|voter| ("ledger", voter.ready())));
+        parts
+    }
+
     /// `/debug/waits`: why work waits. `/debug/waits/NAMESPACE/POD` is one Pod's record, `/debug/waits/NAMESPACE` all
     /// of a namespace, and the plain path the fleet's view, in counts alone: owners see only their own names.
     fn other(&self, method: &str, path: &str, _: &[u8]) -> Option<Result<Object, ApiError>> {
         let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
+        if let (["debug", "ledger", rest @ ..], Some(voter)) = (parts.as_slice(), &self.voter) {
+            return Some(match (rest, method) {
+                ([], "GET") => Ok(voter.report()),
+                // An operator's word.
+                (["readmit", name], "POST") => {
+                    voter.tell(tidespur_ledger::Input::Readmit((*name).to_owned()));
+                    Ok(voter.report())
+                }
+                _ => Err(ApiError::method()),
+            });
+        }
         if let (["debug", "fleet"], "GET") = (parts.as_slice(), method) {
             let off = || ApiError::not_found("fleet", "none: this edge has joined no fleet");
             let report = |member: &Arc<Member>| tidespur_fleet_net::report(&member.view(), clock::now());
@@ -205,7 +233,7 @@
         let (open, planners) = (self.open.load(Ordering::Relaxed), self.planners.load(Ordering::Relaxed));
         let behind = self.behind.load(Ordering::Relaxed);
         (path == "/metrics").then(|| {
-            let disk = self.disk.as_ref().map(|disk| &disk.disk);
+            let disk = self.disk.as_ref().map(|disk| &*disk.disk);
             metrics::text(&lock(&self.ledger), open, planners, behind, disk)
         })
     }
--- a/crates/edge/src/hooks/tests.rs
+++ b/crates/edge/src/hooks/tests.rs
@@ -15,6 +15,7 @@
         member: None,
         pressure: Mutex::new(Pressure::new(0.5, vec![1.0, 5.0])),
         disk: None,
+        voter: None,
     }
 }
 
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -16,7 +16,7 @@
 /// The disk, and how far what was told rests on it.
 pub(crate) struct Disk {
     /// Where batches go.
-    pub(crate) disk: tidespur_durable::Disk,
+    pub(crate) disk: Arc<tidespur_durable::Disk>,
     /// Versions up to this are safe.
     safe: AtomicU64,
     bell: Event,
@@ -59,14 +59,15 @@
     /// # Errors
     /// A record that can't be read.
     pub(crate) fn start(
-        (memory, recalled): (Memory, Recalled),
+        memory: Memory,
+        recalled: &Recalled,
         now: f64,
         core: &mut Core,
         store: &mut Store,
     ) -> Result<Self, String> {
-        let back = core.recall(now, &recalled, store).map_err(|e| e.to_string())?;
+        let back = core.recall(now, recalled, store).map_err(|e| e.to_string())?;
         tracing::info!(?back, "returned");
-        let disk = tidespur_durable::Disk::start(memory).map_err(|e| e.to_string())?;
+        let disk = Arc::new(tidespur_durable::Disk::start(memory).map_err(|e| e.to_string())?);
         store.keep();
         store.show(store.version());
         Ok(Self { disk, safe: AtomicU64::new(store.version()), bell: Event::new() })
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -29,6 +29,9 @@
     /// Keep what outlives the process in a folder of its name beneath this one
     #[arg(long)]
     pub data: Option<PathBuf>,
+    /// Dial peers as this file says instead of where they are known to be (for tests)
+    #[arg(long, hide = true)]
+    pub routes: Option<PathBuf>,
     /// How it joins a fleet
     #[command(flatten)]
     pub fleet: tidespur_fleet_net::Joining,
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -15,7 +15,9 @@
 use tidespur_config::Config;
 use tidespur_fleet::{Facts, Role};
 use tidespur_fleet_net::{Ending, Member, told_to_end};
+use tidespur_ledger_net::Voter;
 use tidespur_link::ToPlanner;
+use tidespur_net::routes::Routes;
 use tidespur_net::{Client, Recorder, clock, server};
 use tidespur_pressure::Pressure;
 use tidespur_rest::{Api, Limits, Served};
@@ -56,11 +58,14 @@
     let remembered = memory::open(&config, &options)?;
     let mut store =
         memory::store(limits, options.seed, clock::now(), remembered.as_ref().map(|(_, back)| back))?;
-    let incarnation = remembered.as_ref().map(|(_, back)| back.incarnation());
+    let (memory, back) = remembered.unzip();
+    let incarnation = back.as_ref().map(tidespur_durable::Recalled::incarnation);
     let mut core = Core::new(config.clone(), options.seed);
-    let disk = match remembered {
-        Some(memory) => Some(Arc::new(Disk::start(memory, clock::now(), &mut core, &mut store)?)),
-        None => {
+    let disk = match (memory, &back) {
+        (Some(memory), Some(back)) => {
+            Some(Arc::new(Disk::start(memory, back, clock::now(), &mut core, &mut store)?))
+        }
+        _ => {
             core.forgetful();
             None
         }
@@ -72,6 +77,15 @@
         // The second "default" stands already.
         drop(store.create(NAMESPACES, object, clock::now()));
     }
+    let routes = Routes::from(options.routes.clone());
+    let voter = Voter::start(
+        &config,
+        &options.name,
+        disk.as_ref().map(|disk| disk.disk.clone()),
+        back.as_ref(),
+        routes,
+    );
+    let voter = voter.await?.map(Arc::new);
     let facts = Facts { api: api_address.clone(), link: link_address.clone(), ..Facts::of(Role::Edge) };
     let member =
         Member::join(&config, &options.fleet, &options.name, facts.clone(), options.seed, incarnation);
@@ -90,6 +104,7 @@
         behind: AtomicU64::new(0),
         member: member.clone(),
         disk: disk.clone(),
+        voter,
         pressure: Mutex::new(Pressure::of(config.class.values().map(|class| (class.aim, class.worth)))),
     };
     let limits = Limits {
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -29,12 +29,13 @@
 impl Loop {
     pub(crate) async fn turn(&self, mut core: Core, inputs: Receiver<Input>) {
         let mut outbox = Outbox::default();
+        let disk_came = self.disk.as_ref().map(|disk| disk.disk.subscribe());
         let mut shown = self.api.store().version();
         loop {
             let wake = core.next_wake().unwrap_or(f64::INFINITY);
             let came = async {
-                match &self.disk {
-                    Some(disk) => disk.disk.came.recv().await.map(|()| Input::Kick),
+                match &disk_came {
+                    Some(came) => came.recv().await.map(|()| Input::Kick),
                     None => std::future::pending().await,
                 }
             };
--- /dev/null
+++ b/crates/ledger-net/src/lib.rs
@@ -0,0 +1,141 @@
+//! The loop around a voter of the ledger: streams, timers and the disk in; words, batches and news out. It decides
+//! nothing.
+
+mod streams;
+mod turn;
+
+use async_channel::Sender;
+use serde_json::{Value, json};
+use smol::net::TcpListener;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use streams::Streams;
+use tidespur_config::Config;
+use tidespur_durable::{Disk, Recalled};
+use tidespur_ledger::{Input, Ledger, Settings, Standing};
+use tidespur_net::{clock, routes::Routes};
+
+/// The lease of the one edge that acts for the whole fleet.
+pub const FLEET: &str = "fleet";
+/// Inputs that may wait for the loop.
+const INPUTS_MOST: usize = 4_096;
+
+/// A voter that runs; it ends with this value.
+pub struct Voter {
+    ledger: Arc<Mutex<Ledger>>,
+    tell: Sender<turn::Event>,
+    _tasks: Vec<smol::Task<()>>,
+}
+
+pub(crate) fn lock(ledger: &Mutex<Ledger>) -> MutexGuard<'_, Ledger> {
+    // Each step is one call; a panic in it leaves a voter that is not used any more.
+    ledger.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A number that no other start of a process has.
+fn start() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    // Each of these is made with keys that the system draws.
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
+
+impl Voter {
+    /// Starts the voter that the settings name like this process; `None` where they name no ledger, or others only.
+    ///
+    /// # Errors
+    /// What keeps it from starting, and what an operator can do.
+    pub async fn start(
+        config: &Config,
+        name: &str,
+        disk: Option<Arc<Disk>>,
+        memory: Option<&Recalled>,
+        routes: Routes,
+    ) -> Result<Option<Self>, String> {
+        let Some(block) = &config.ledger else { return Ok(None) };
+        let Some(address) = block.voters.get(name) else { return Ok(None) };
+        let (Some(disk), Some(memory)) = (disk, memory) else {
+            return Err(
+                "the ledger's voters need a memory: name a folder by --data or durable { dir = ... }".into(),
+            );
+        };
+        let settings = Settings {
+            voters: block.voters.keys().cloned().collect(),
+            own: name.to_owned(),
+            incarnation: memory.incarnation(),
+            start: start(),
+            term: block.term,
+            drift: block.drift,
+        };
+        let ledger = Arc::new(Mutex::new(Ledger::new(settings, memory, clock::now())?));
+        let (tell, told) = async_channel::bounded(INPUTS_MOST);
+        let listener =
+            TcpListener::bind(address).await.map_err(|e| format!("ledger: {address}: can't listen: {e}"))?;
+        let streams = Arc::new(Streams {
+            cluster: config.cluster().to_owned(),
+            own: name.to_owned(),
+            voters: block.voters.clone(),
+            tell: tell.clone(),
+            routes,
+        });
+        let mut tasks = vec![smol::spawn(streams.clone().accept(listener))];
+        // Of each pair the one that the settings name first dials.
+        let place = block.voters.get_index_of(name).unwrap_or(0);
+        for other in block.voters.keys().skip(place + 1) {
+            tasks.push(smol::spawn(streams.clone().dial(other.clone())));
+        }
+        tasks.push(smol::spawn(turn::run(name.to_owned(), ledger.clone(), told, disk)));
+        tracing::info!(voter = name, address, voters = block.voters.len(), "keeps the ledger");
+        let voter = Self { ledger, tell, _tasks: tasks };
+        voter.tell(Input::Want(FLEET.into()));
+        Ok(Some(voter))
+    }
+
+    /// Whether this process may act now under a lease, and with which token: to be asked at the moment of the act.
+    pub fn may_act(&self, lease: &str) -> Option<u64> {
+        lock(&self.ledger).may_act(clock::now(), lease)
+    }
+
+    /// Tells the voter something. Lost where its loop is far behind: whoever wants it said says it again.
+    pub fn tell(&self, input: Input) {
+        let _ = self.tell.try_send(turn::Event::Input(input));
+    }
+
+    /// Where the ledger stands, in a line, or what it waits for.
+    ///
+    /// # Errors
+    /// What it waits for and what an operator can do.
+    pub fn ready(&self) -> Result<String, String> {
+        let ledger = lock(&self.ledger);
+        match (ledger.standing(), ledger.leader()) {
+            (Standing::Voting, Some(leader)) => Ok(format!("votes; {leader} leads")),
+            (Standing::Voting, None) => {
+                Err("votes, but no majority of the voters is heard: what needs the fleet's word waits; look at the other voters".into())
+            }
+            (Standing::Asking(heard), _) => {
+                Err(format!("{heard} voters have said how far they know this one; look whether the others run"))
+            }
+            (Standing::Barred { by, .. }, _) => Err(format!(
+                "does not vote: {by} knows it as further than its disk is; if the disk is a restored or a new one, have it taken in again at a voter that votes"
+            )),
+        }
+    }
+
+    /// All that an operator may want to see.
+    pub fn report(&self) -> Value {
+        let ledger = lock(&self.ledger);
+        let now = clock::now();
+        let lease = |(name, lease): (&String, &tidespur_ledger::Lease)| {
+            let holder = lease.holder.as_ref().map(|holder| holder.name.as_str());
+            json!({"name": name, "token": lease.token, "holder": holder,
+                "mayActHere": ledger.may_act(now, name)})
+        };
+        let standing = match ledger.standing() {
+            Standing::Voting => "voting",
+            Standing::Asking(_) => "asking",
+            Standing::Barred { .. } => "barred",
+        };
+        let state = ledger.state();
+        json!({"standing": standing, "leader": ledger.leader(),
+            "leases": state.leases.iter().map(lease).collect::<Vec<_>>(),
+            "notes": state.notes.len(), "asking": ledger.asking().collect::<Vec<_>>()})
+    }
+}
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -20,6 +20,8 @@
 const RESEND: u64 = 10;
 /// Voters are told how far this one is this often.
 const HERE: Seconds = 0.5;
+/// An operator's word that is not in the log yet is proposed again after this.
+const AGAIN: Seconds = 1.0;
 /// The log is folded beyond so many entries.
 const FOLD: usize = 256;
 /// Entries that wait for a leader; more are dropped, as leases ask again by themselves.
@@ -39,6 +41,8 @@
     known: BTreeMap<String, Mark>,
     /// Voters that are not as far as they are known, and how far they say that they are.
     asking: BTreeMap<String, Mark>,
+    /// Those that an operator wants taken in again, and when that was last proposed.
+    readmits: BTreeMap<String, Seconds>,
     state: State,
     applied: usize,
     leases: Leases,
@@ -75,7 +79,8 @@
         let life =
             memory.of(LIFE).next().and_then(|(_, bytes)| std::str::from_utf8(bytes).ok()?.parse().ok());
         let life = life.unwrap_or(0);
-        let mut own = Mark { begun: memory.begun, turn: memory.turn, life, ..Mark::default() };
+        let start = settings.start;
+        let mut own = Mark { begun: memory.begun, turn: memory.turn, start, life, ..Mark::default() };
         own.read(&log);
         let mut ledger = Self {
             settings,
@@ -86,6 +91,7 @@
             confirmed: BTreeSet::new(),
             known,
             asking: BTreeMap::new(),
+            readmits: BTreeMap::new(),
             state: State::default(),
             applied: 0,
             leases: Leases::default(),
@@ -130,6 +136,11 @@
         self.leader.as_deref()
     }
 
+    /// Voters that are not as far as they are known to have been, and wait for an operator's word.
+    pub fn asking(&self) -> impl Iterator<Item = &str> {
+        self.asking.keys().map(String::as_str)
+    }
+
     /// When to step next though nothing happens.
     pub fn next_wake(&self) -> Seconds {
         self.tick_at
@@ -150,6 +161,7 @@
             let (entries, ran_out) = self.leases.due(now, &self.state, &self.settings);
             out.extend(ran_out.into_iter().map(Output::Lost));
             entries.into_iter().for_each(|entry| self.propose(entry));
+            self.readmit(now);
         }
         self.go_on(now, out);
         if now >= self.here_at {
--- a/crates/ledger/src/ledger/talk.rs
+++ b/crates/ledger/src/ledger/talk.rs
@@ -1,6 +1,6 @@
 //! What other voters, the loop and operators say.
 
-use super::{LIFE, Ledger, MARK};
+use super::{AGAIN, LIFE, Ledger, MARK};
 use crate::words::Known;
 use crate::{Entry, Input, Mark, Output, Seconds, Standing, Word};
 
@@ -38,14 +38,8 @@
                     self.propose(Entry::Note { lease, token, key, value });
                 }
             }
-            Input::Readmit(voter) => {
-                // What it says of itself now is what is taken in.
-                if let Some(Mark { begun, turn, .. }) = self.asking.get(&voter).copied() {
-                    let known = self.known.get(&voter).and_then(|known| known.promise);
-                    let floor = known.max(self.log.promise());
-                    self.propose(Entry::Readmit { voter, begun, turn, floor });
-                }
-            }
+            // Said again until it is in the log: a word to a leader that is gone is lost.
+            Input::Readmit(voter) => drop(self.readmits.insert(voter, f64::NEG_INFINITY)),
         }
     }
 
@@ -121,6 +115,22 @@
         }
     }
 
+    /// Operators' words that are not in the log yet.
+    pub(super) fn readmit(&mut self, now: Seconds) {
+        self.readmits.retain(|voter, _| self.asking.contains_key(voter));
+        let due = self.readmits.iter_mut().filter(|(_, at)| now >= **at + AGAIN);
+        let mut entries = Vec::new();
+        for (voter, at) in due {
+            *at = now;
+            // What it says of itself now is what is taken in.
+            let Some(Mark { begun, turn, .. }) = self.asking.get(voter).copied() else { continue };
+            let known = self.known.get(voter).and_then(|known| known.promise);
+            let floor = known.max(self.log.promise());
+            entries.push(Entry::Readmit { voter: voter.clone(), begun, turn, floor });
+        }
+        entries.into_iter().for_each(|entry| self.propose(entry));
+    }
+
     pub(super) fn stand(&mut self, standing: Standing, out: &mut Vec<Output>) {
         if self.standing != standing {
             self.standing = standing.clone();
--- a/crates/ledger/src/mark.rs
+++ b/crates/ledger/src/mark.rs
@@ -13,6 +13,8 @@
     pub begun: u64,
     /// How often that memory was opened.
     pub turn: u64,
+    /// Drawn at its start: two processes that opened the memory the same time share a disk that was set back.
+    pub start: u64,
     /// How often the voter was taken in again: what was known of an earlier life counts no more.
     pub life: u64,
     /// The round that it promised.
@@ -34,7 +36,7 @@
         self.life > known.life
             || self.life == known.life
                 && self.begun == known.begun
-                && self.turn >= known.turn
+                && (self.turn > known.turn || (self.turn, self.start) == (known.turn, known.start))
                 && self.promise >= known.promise
                 && self.accepted >= known.accepted
                 && self.decided >= known.decided
--- a/crates/ledger/src/words.rs
+++ b/crates/ledger/src/words.rs
@@ -15,6 +15,8 @@
     pub own: String,
     /// Which start of this process it is.
     pub incarnation: u64,
+    /// Drawn anew at each start.
+    pub start: u64,
     /// How long a lease holds without being renewed.
     pub term: Seconds,
     /// How far two clocks may run apart, as a share.
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -95,6 +95,7 @@
             voters: names,
             own: voter.name.clone(),
             incarnation: voter.disk.incarnation(),
+            start: self.rng.random(),
             term: TERM,
             drift: 0.01,
         };
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod follow;
 pub mod frames;
 pub mod record;
+pub mod routes;
 pub mod server;
 
 pub use body::Body;
--- a/crates/planner/src/links.rs
+++ b/crates/planner/src/links.rs
@@ -55,7 +55,8 @@
     }
 
     pub(crate) async fn serve_edge(&self, id: EdgeId, address: &str) -> Result<(), String> {
-        let socket = clock::within(1.0, smol::net::TcpStream::connect(address)).await;
+        let routes = tidespur_net::routes::Routes::from(self.options.routes.clone());
+        let socket = clock::within(1.0, smol::net::TcpStream::connect(routes.to(address))).await;
         let socket = socket.ok_or("timed out")?.map_err(|e| e.to_string())?;
         socket.set_nodelay(true).map_err(|e| e.to_string())?;
         let (send, queue) = async_channel::bounded(frames::QUEUE_MOST);
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -131,10 +131,11 @@
 impl Loop {
     async fn turn(self: &Arc<Self>, core: &mut Core, inputs: Receiver<Input>, disk: Option<&Disk>) {
         let mut outbox: Outbox<Held> = Outbox::default();
+        let disk_came = disk.map(Disk::subscribe);
         loop {
             let came = async {
-                match disk {
-                    Some(disk) => disk.came.recv().await.map(|()| Input::Tick),
+                match &disk_came {
+                    Some(came) => came.recv().await.map(|()| Input::Tick),
                     None => std::future::pending().await,
                 }
             };
--- a/crates/rest/src/handle.rs
+++ b/crates/rest/src/handle.rs
@@ -101,6 +101,11 @@
         Route::Objects(_) => Err(ApiError::no_such_path()),
         _ if !read => Err(ApiError::method()),
         Route::Version => plain(version()),
+        Route::Health
+            if path.starts_with("/readyz") && head.uri.query().is_some_and(|q| q.contains("verbose")) =>
+        {
+            plain(json!(verbose(api)))
+        }
         Route::Health if path.starts_with("/readyz") => plain(json!(api.hooks.ready()?)),
         Route::Health => plain(json!("ok")),
         Route::Core => {
@@ -117,6 +122,17 @@
     }
 }
 
+/// Each part of the program in a line, as published servers show them.
+fn verbose<H: Hooks>(api: &Api<H>) -> String {
+    let line = |(name, stands): (&str, Result<String, String>)| match stands {
+        Ok(how) => format!("[+]{name} ok: {how}\n"),
+        Err(waits) => format!("[-]{name} waits: {waits}\n"),
+    };
+    let lines: String = api.hooks.parts().into_iter().map(line).collect();
+    let whole = if api.hooks.ready().is_ok() { "passed" } else { "failed" };
+    format!("{lines}readyz check {whole}\n")
+}
+
 /// Every field of the published type. What is not known of this build is said to be so.
 fn version() -> Value {
     let built = |told: Option<&'static str>, otherwise: &'static str| told.unwrap_or(otherwise);
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -117,6 +117,10 @@
     fn ready(&self) -> Result<String, ApiError> {
         Ok("ok".into())
     }
+    /// What `/readyz?verbose` shows, a line each: a part of the program, and how it stands or what it waits for.
+    fn parts(&self) -> Vec<(&'static str, Result<String, String>)> {
+        vec![]
+    }
     /// Answers what the plain API does not know.
     fn other(&self, _method: &str, _path: &str, _body: &[u8]) -> Option<Result<Object, ApiError>> {
         None
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod oracle;
 pub mod play;
 pub mod process;
+pub mod relay;
 mod sample;
 pub mod scenario;
 pub mod simnet;
