Words that wait for a disk that stands still are bounded; time without a lease's holder measured

Read once more, the change had two queues without a bound: an edge's words to planners that have gone, and a voter's words. The first are dropped as nobody's beyond 16,384; the second beyond 4,096, and its streams with them, as the agreement bears no gap.

--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -20,6 +20,9 @@
 /// How far the edge is behind its work is measured this often.
 const MARK: f64 = 0.1;
 
+/// Words that wait for the disk; beyond, those that need not be said any more are dropped.
+const HELD_MOST: usize = 16_384;
+
 /// What the loop says, to a planner or to those who wait for a version.
 enum Word {
     Tell(PlannerId, Box<ToPlanner>),
@@ -85,6 +88,15 @@
             if std::mem::replace(&mut shown, version) != version {
                 outbox.hold(rests_on, Word::Show(version));
             }
+            if outbox.len() > HELD_MOST {
+                // The disk stands still: words to planners that have gone meanwhile are nobody's, and the last version
+                // that may be shown tells of all before it.
+                let planners = lock(&self.planners);
+                drop(outbox.take_back(|word| match word {
+                    Word::Tell(planner, _) => !planners.contains_key(planner),
+                    Word::Show(before) => *before != version,
+                }));
+            }
             for word in outbox.release(disk.disk.safe()) {
                 match word {
                     Word::Tell(planner, message) => self.tell(planner, *message),
--- a/crates/ledger-net/src/turn.rs
+++ b/crates/ledger-net/src/turn.rs
@@ -13,6 +13,9 @@
 /// Inputs that are taken into one step.
 const STEP_MOST: usize = 256;
 
+/// Words that wait for the disk.
+const HELD_MOST: usize = 4_096;
+
 /// What the loop is told.
 pub(crate) enum Event {
     Input(Input),
@@ -106,6 +109,14 @@
                 Output::Stands(standing) => tracing::info!(voter = name, ?standing, "stands"),
             }
         }
+        if outbox.len() > HELD_MOST {
+            // The disk stands still: a voter that can't write can't vote. Its words are dropped, and its streams with
+            // them, as the agreement bears no gap in one.
+            drop(outbox.take_back(|held| matches!(held, Held::Say(..))));
+            for (_, send) in streams.values() {
+                send.close();
+            }
+        }
     }
 }
 
--- a/crates/ledger/examples/holder.rs
+++ b/crates/ledger/examples/holder.rs
@@ -33,7 +33,7 @@
     }
 }
 
-/// Seconds in which nothing was carried out under the lease, once its holder met that.
+/// Seconds until another may act under the lease, once its holder met that.
 fn gap(seed: u64, voters: usize, what: &str) -> f64 {
     let mut world = World::new(seed, voters, 0.01);
     world.run(10.0 + seed as f64 * 0.037);
@@ -48,6 +48,8 @@
         }),
         _ => world.tell(holder, tidespur_ledger::Input::GiveBack("l".into())),
     }
-    world.run(20.0);
-    world.longest_gap(from)
+    while world.now < from + 60.0 && !(0..voters).any(|i| i != holder && world.may_act(i).is_some()) {
+        world.run(common::STEP);
+    }
+    world.now - from
 }
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -189,7 +189,7 @@
             while words.front().is_some_and(|(at, _)| *at <= self.now) {
                 let Some((_, word)) = words.pop_front() else { break };
                 self.words += 1;
-                self.bytes += serde_json::to_vec(&word).map_or(0, |bytes| bytes.len() as u64);
+                self.bytes += postcard::to_stdvec(&word).map_or(0, |bytes| bytes.len() as u64);
                 let name = self.voters[*from].name.clone();
                 if self.voters[*to].ledger.is_some() {
                     self.voters[*to].inputs.push(Input::Heard(name, word));
