What nobody reads is gone from ledger, relay and memory; three comments say what is so

Read once more: Ledger::held and the relay's count of bytes had no reader, a one-line wrapper in memory.rs had one caller, and reading about a memory opened it by hand where the rest asks for the open disk. Comments on waiting entries and known marks spoke of an earlier form. No behaviour changes; clippy, the tests of durable, ledger and ledger-net, and the ledger's process tests pass.

--- a/crates/durable/src/memory.rs
+++ b/crates/durable/src/memory.rs
@@ -70,7 +70,7 @@
         let records = memory.read()?;
         let held: u64 = records.iter().map(|((a, b), v)| (a.len() + b.len() + v.len()) as u64).sum();
         memory.compact(held)?;
-        memory.note("turn", &turn.to_string())?;
+        memory.notes(&[("turn", &turn.to_string())])?;
         Ok((memory, Recalled { records, turn, begun }))
     }
 
@@ -114,12 +114,10 @@
     }
 
     fn about(&self) -> Result<BTreeMap<String, String>, Error> {
+        let disk = self.disk()?;
         let read = || -> Result<BTreeMap<String, String>, redb::Error> {
-            let disk = match &self.disk {
-                Some(disk) => disk.begin_read()?,
-                None => return Err(redb::Error::DatabaseClosed),
-            };
-            let table = match disk.open_table(ABOUT) {
+            let read = disk.begin_read()?;
+            let table = match read.open_table(ABOUT) {
                 Ok(table) => table,
                 Err(redb::TableError::TableDoesNotExist(_)) => return Ok(BTreeMap::new()),
                 Err(other) => return Err(other.into()),
@@ -134,10 +132,6 @@
         read().map_err(|e| told(&self.file, e))
     }
 
-    fn note(&mut self, key: &str, value: &str) -> Result<(), Error> {
-        self.notes(&[(key, value)])
-    }
-
     fn notes(&mut self, notes: &[(&str, &str)]) -> Result<(), Error> {
         let disk = self.disk()?;
         let write = || -> Result<(), redb::Error> {
--- a/crates/ledger/src/leases.rs
+++ b/crates/ledger/src/leases.rs
@@ -52,10 +52,6 @@
         self.mine.get(lease).filter(|mine| now < mine.until).map(|mine| mine.token)
     }
 
-    pub(crate) fn held(&self) -> impl Iterator<Item = (&str, u64)> {
-        self.mine.iter().map(|(lease, mine)| (lease.as_str(), mine.token))
-    }
-
     fn see(&mut self, now: Seconds, name: &str, lease: &Lease) {
         let seen = self.seen.get(name).map(|(token, heard, _)| (*token, *heard));
         if seen != Some((lease.token, lease.heard)) {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -24,7 +24,7 @@
 const AGAIN: Seconds = 1.0;
 /// The log is folded beyond so many entries.
 const FOLD: usize = 256;
-/// Entries that wait for a leader; more are dropped, as leases ask again by themselves.
+/// Entries that wait for the disk of a voter that is alone; more are dropped, as leases ask again by themselves.
 const WAITING_MOST: usize = 1_024;
 const MARK: &str = "ledger.mark";
 const LIFE: &str = "ledger.life";
@@ -37,7 +37,7 @@
     agreement: Option<OmniPaxos<Entry, Log>>,
     standing: Standing,
     confirmed: BTreeSet<String>,
-    /// What is known of the other voters, and what of that is yet to be written.
+    /// How far the other voters are known to be.
     known: BTreeMap<String, Mark>,
     /// Voters that are not as far as they are known, and how far they say that they are.
     asking: BTreeMap<String, Mark>,
@@ -46,7 +46,7 @@
     state: State,
     applied: usize,
     leases: Leases,
-    /// Entries that wait for the agreement, or, with one voter, for the disk, and the batch that they wait for.
+    /// With one voter: entries that wait for the disk, and the batch that they wait for.
     waiting: VecDeque<(u64, Entry)>,
     batches: u64,
     safe: u64,
@@ -116,11 +116,6 @@
         self.leases.may_act(now, lease)
     }
 
-    /// Leases that are held here, whether or not their term still runs.
-    pub fn held(&self) -> impl Iterator<Item = (&str, u64)> {
-        self.leases.held()
-    }
-
     /// What the log says, as far as it was read here.
     pub fn state(&self) -> &State {
         &self.state
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -28,7 +28,6 @@
     way: Mutex<Way>,
     /// Rises when what stands is to end.
     generation: AtomicU64,
-    carried: AtomicU64,
 }
 
 impl Shared {
@@ -56,11 +55,7 @@
     pub async fn start(to: &str) -> Result<Self, String> {
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(|e| e.to_string())?;
         let address = listener.local_addr().map_err(|e| e.to_string())?.to_string();
-        let shared = Arc::new(Shared {
-            way: Mutex::new(Way::Open),
-            generation: AtomicU64::new(0),
-            carried: AtomicU64::new(0),
-        });
+        let shared = Arc::new(Shared { way: Mutex::new(Way::Open), generation: AtomicU64::new(0) });
         let task = smol::spawn(accept(listener, to.to_owned(), shared.clone()));
         Ok(Self { address, shared, _task: task })
     }
@@ -77,11 +72,6 @@
     pub fn reset(&self) {
         self.shared.generation.fetch_add(1, Ordering::SeqCst);
     }
-
-    /// Bytes that crossed it.
-    pub fn carried(&self) -> u64 {
-        self.shared.carried.load(Ordering::Relaxed)
-    }
 }
 
 async fn accept(listener: TcpListener, to: String, shared: Arc<Shared>) {
@@ -132,6 +122,5 @@
         if bytes == 0 || to.write_all(&buffer[..bytes]).await.is_err() {
             return;
         }
-        shared.carried.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 }
