--- a/crates/platform-net/src/config.rs
+++ b/crates/platform-net/src/config.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 use std::path::PathBuf;
-use tidespur_platform::board::{self, Notice, WireNotice};
+use tidespur_platform::discovery::{self, Delivery, WireEvent};
 use tidespur_settings::{Info, Site};
 
 #[derive(Deserialize)]
@@ -26,7 +26,7 @@
 #[derive(Deserialize)]
 struct WireKnown {
     #[serde(default)]
-    notices: Vec<WireNotice>,
+    notices: Vec<WireEvent>,
 }
 
 /// The configuration, read.
@@ -43,8 +43,8 @@
     /// Address of the notice board.
     pub board: String,
     /// Its events up to now.
-    pub known: Vec<Notice>,
-    /// What the policy and the door are told.
+    pub known: Vec<Delivery>,
+    /// What the policy and the gateway are told.
     pub site: Site,
 }
 
@@ -63,7 +63,7 @@
 pub fn read(text: &str) -> Result<Config, String> {
     let wire: Wire = serde_json::from_str(text).map_err(|e| format!("the configuration: {e}"))?;
     let site = wire.settings.site()?;
-    let known = wire.known.notices.into_iter().map(|notice| board::read(&site, notice)).collect();
+    let known = wire.known.notices.into_iter().map(|notice| discovery::read(&site, notice)).collect();
     let seed =
         u64::from_str_radix(&wire.seed, 16).unwrap_or_else(|_| tidespur_settings::words::hash(&wire.seed));
     Ok(Config {
--- a/crates/platform-net/src/board.rs
+++ b/crates/platform-net/src/discovery.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tidespur_net::{Client, clock};
-use tidespur_platform::board::Events;
+use tidespur_platform::discovery::Events;
 
 /// A comment comes each second: silence for this long is an end.
 const SILENCE: f64 = 2.0;
@@ -37,11 +37,11 @@
 }
 
 /// Follows the board where it listens now. Once it has moved, what is left of the old stream is still read.
-pub async fn follow(current: Rc<Address>, noticed: impl Fn() -> u64, mut take: impl FnMut(&str)) {
+pub async fn follow(current: Rc<Address>, delivered: impl Fn() -> u64, mut take: impl FnMut(&str)) {
     let (address, moves) = (current.at.borrow().clone(), current.moves.get());
     loop {
         let began = clock::now();
-        let why = once(&address, noticed(), &mut take).await;
+        let why = once(&address, delivered(), &mut take).await;
         tracing::info!(board = address, why, "the notice board ended");
         if current.moves.get() != moves {
             return;
@@ -52,8 +52,8 @@
     }
 }
 
-async fn once(address: &str, noticed: u64, take: &mut impl FnMut(&str)) -> String {
-    let client = Client::new(address, 1, vec![("last-event-id", noticed.to_string())]);
+async fn once(address: &str, delivered: u64, take: &mut impl FnMut(&str)) -> String {
+    let client = Client::new(address, 1, vec![("last-event-id", delivered.to_string())]);
     let mut lines = match client.lines("/board/poll", HEAD_WITHIN).await {
         Ok(lines) if lines.status.is_success() => lines,
         Ok(lines) => return format!("status {}", lines.status),
--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -1,7 +1,7 @@
-//! Sockets, timers and signals of the platform's door. Decides nothing: see [`tidespur_platform::Door`].
+//! Sockets, timers and signals of the platform's gateway. Decides nothing: see [`tidespur_platform::Gateway`].
 
-mod board;
 pub mod config;
+mod discovery;
 mod run;
 mod socket;
 
--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -1,7 +1,7 @@
 //! The loops: listen, dial, read, write, signals, timers.
 
-use crate::board::{self, Address};
 use crate::config::{self, Config};
+use crate::discovery::{self, Address};
 use crate::socket::{Socket, TURN, Wrote};
 use async_io::Async;
 use async_signal::{Signal, Signals};
@@ -13,10 +13,10 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use tidespur_net::clock;
-use tidespur_platform::lines::LineAction;
+use tidespur_platform::input_queue::{InputQueue, Sequence};
 use tidespur_platform::message::{Decoder, Id, Message};
-use tidespur_platform::turn::{Ticket, Turn};
-use tidespur_platform::{ClientId, Door, Input, Limits, LineId, Output};
+use tidespur_platform::pool::PoolAction;
+use tidespur_platform::{DownstreamId, Gateway, Input, Limits, Output, UpstreamId};
 
 /// A line of counters goes to the log this often.
 const REPORT: f64 = 10.0;
@@ -31,23 +31,23 @@
 const REREADS: u32 = 50;
 
 /// A connection to a machine.
-enum Line {
+enum Upstream {
     /// Being dialled by this task: dropped with it, so that a dial given up holds no descriptor.
     Dialled(Task<()>),
     Open(Rc<Socket>),
 }
 
 struct Run {
-    door: RefCell<Door>,
+    gateway: RefCell<Gateway>,
     executor: Rc<LocalExecutor<'static>>,
-    clients: RefCell<BTreeMap<ClientId, Rc<Socket>>>,
-    lines: RefCell<BTreeMap<LineId, Line>>,
+    downstreams: RefCell<BTreeMap<DownstreamId, Rc<Socket>>>,
+    upstreams: RefCell<BTreeMap<UpstreamId, Upstream>>,
     buffer: RefCell<Vec<u8>>,
     next_client: Cell<u64>,
     /// Told when the time of the next tick may have changed.
     wake: async_lock::Semaphore,
     /// What came and was not taken in yet; told when there is something.
-    turn: RefCell<Turn>,
+    turn: RefCell<InputQueue>,
     came: (Sender<()>, Receiver<()>),
     board: Rc<Address>,
     name: String,
@@ -75,12 +75,12 @@
         executor: Rc<LocalExecutor<'static>>,
         signals: Signals,
     ) -> Result<Rc<Self>, String> {
-        let door = Door::new(config.site, Limits::of(config.sockets), config.seed)?;
+        let gateway = Gateway::new(config.site, Limits::of(config.sockets), config.seed)?;
         let this = Rc::new(Self {
-            door: RefCell::new(door),
+            gateway: RefCell::new(gateway),
             executor,
-            clients: RefCell::default(),
-            lines: RefCell::default(),
+            downstreams: RefCell::default(),
+            upstreams: RefCell::default(),
             buffer: RefCell::new(vec![0; TURN]),
             next_client: Cell::new(0),
             wake: async_lock::Semaphore::new(0),
@@ -90,7 +90,7 @@
             name: config.name,
             over: Cell::new(false),
         });
-        this.step(config.known.into_iter().map(Input::Noticed).collect());
+        this.step(config.known.into_iter().map(Input::Delivered).collect());
         let address: SocketAddr = config.listen.parse().map_err(|e| format!("{}: {e}", config.listen))?;
         let listener = Async::<TcpListener>::bind(address).map_err(|e| format!("{address}: {e}"))?;
         tracing::info!(scheduler = this.name, %address, sockets = config.sockets, "started");
@@ -111,14 +111,14 @@
         let mut reported = clock::now();
         while !self.over.get() {
             let now = clock::now();
-            let due = self.door.borrow().next_wake() - now;
+            let due = self.gateway.borrow().next_wake() - now;
             if due > 0.0
                 && let Some(permit) = clock::within(due, self.wake.acquire()).await
             {
                 permit.forget();
             }
             let now = clock::now();
-            if now >= self.door.borrow().next_wake() {
+            if now >= self.gateway.borrow().next_wake() {
                 self.step(vec![Input::Tick]);
             }
             if now - reported > REPORT {
@@ -131,27 +131,27 @@
     }
 
     fn report(&self) {
-        let door = self.door.borrow();
-        let [requests, waiting, clients, lines, machines] = door.sizes();
-        tracing::info!(scheduler = self.name, requests, waiting, clients, lines, machines, counts = ?door.counts());
+        let gateway = self.gateway.borrow();
+        let [requests, waiting, clients, lines, machines] = gateway.sizes();
+        tracing::info!(scheduler = self.name, requests, waiting, clients, lines, machines, counts = ?gateway.counts());
     }
 
     /// What came is taken in with all that came beside it: the reactor wakes readers before this comes round.
-    fn put(&self, input: Input) -> Ticket {
+    fn put(&self, input: Input) -> Sequence {
         // Where it was told already, once is enough.
         let _ = self.came.0.try_send(());
         self.turn.borrow_mut().put(input)
     }
 
-    /// Takes in what came, in the order of [`Turn`].
+    /// Takes in what came, in the order of [`InputQueue`].
     async fn turns(self: Rc<Self>) {
         while self.came.1.recv().await.is_ok() {
             while !self.turn.borrow().is_empty() {
                 let mut inputs = self.turn.borrow_mut().take();
                 // A connection that ended meanwhile from here has been told already.
                 inputs.retain(|input| match input {
-                    Input::ClientClosed(client) => self.client_over(*client),
-                    Input::LineEnded(line) => self.line_over(*line),
+                    Input::DownstreamClosed(client) => self.client_over(*client),
+                    Input::UpstreamEnded(line) => self.line_over(*line),
                     _ => true,
                 });
                 self.step(inputs);
@@ -166,13 +166,13 @@
         loop {
             let due = clock::now() + MARK;
             clock::sleep(MARK).await;
-            self.put(Input::Behind(clock::now() - due));
+            self.put(Input::Lag(clock::now() - due));
         }
     }
 
     /// Waits until what was put in is taken: until then no more is read from that connection.
-    async fn taken(&self, ticket: Ticket) {
-        while !self.turn.borrow().taken(ticket) {
+    async fn taken(&self, sequence: Sequence) {
+        while !self.turn.borrow().taken(sequence) {
             futures_lite::future::yield_now().await;
         }
     }
@@ -181,22 +181,24 @@
         let mut inputs = inputs;
         while !inputs.is_empty() {
             let mut out = Vec::new();
-            let before = self.door.borrow().next_wake();
+            let before = self.gateway.borrow().next_wake();
             for input in &inputs {
                 match input {
-                    Input::ClientSaid(..) | Input::LineSaid(..) => tracing::trace!(?input),
+                    Input::DownstreamSaid(..) | Input::UpstreamSaid(..) => tracing::trace!(?input),
                     Input::Tick => {}
                     _ => tracing::debug!(scheduler = self.name, ?input),
                 }
             }
-            self.door.borrow_mut().step(clock::now(), std::mem::take(&mut inputs), &mut out);
-            if self.door.borrow().next_wake() < before {
+            self.gateway.borrow_mut().step(clock::now(), std::mem::take(&mut inputs), &mut out);
+            if self.gateway.borrow().next_wake() < before {
                 self.wake.add_permits(1);
             }
             for output in out {
                 match &output {
-                    Output::CloseClient(_)
-                    | Output::Line(LineAction::Dial(..) | LineAction::Finish(_) | LineAction::Close(_)) => {
+                    Output::CloseDownstream(_)
+                    | Output::Upstream(
+                        PoolAction::Dial(..) | PoolAction::HalfClose(_) | PoolAction::Close(_),
+                    ) => {
                         tracing::debug!(scheduler = self.name, ?output);
                     }
                     _ => tracing::trace!(?output),
@@ -208,29 +210,29 @@
 
     fn carry_out(self: &Rc<Self>, output: Output) -> Option<Input> {
         match output {
-            Output::Client(client, bytes) => {
-                let socket = self.clients.borrow().get(&client).cloned()?;
+            Output::Downstream(client, bytes) => {
+                let socket = self.downstreams.borrow().get(&client).cloned()?;
                 match self.write(socket, &bytes) {
                     Wrote::Taken => None,
-                    _ => self.client_over(client).then_some(Input::ClientClosed(client)),
+                    _ => self.client_over(client).then_some(Input::DownstreamClosed(client)),
                 }
             }
-            Output::CloseClient(client) => {
+            Output::CloseDownstream(client) => {
                 self.client_over(client);
                 None
             }
-            Output::Line(LineAction::Dial(line, address)) => {
+            Output::Upstream(PoolAction::Dial(line, address)) => {
                 let dial = self.executor.spawn(self.clone().dial(line, address));
-                self.lines.borrow_mut().insert(line, Line::Dialled(dial));
+                self.upstreams.borrow_mut().insert(line, Upstream::Dialled(dial));
                 None
             }
-            Output::Line(LineAction::Write(line, bytes)) => self.write_line(line, None, &bytes),
-            Output::Line(LineAction::Offer(line, id, bytes)) => self.write_line(line, Some(id), &bytes),
-            Output::Line(LineAction::Finish(line)) => {
+            Output::Upstream(PoolAction::Write(line, bytes)) => self.write_line(line, None, &bytes),
+            Output::Upstream(PoolAction::Offer(line, id, bytes)) => self.write_line(line, Some(id), &bytes),
+            Output::Upstream(PoolAction::HalfClose(line)) => {
                 self.line(line)?.finish();
                 None
             }
-            Output::Line(LineAction::Close(line)) => {
+            Output::Upstream(PoolAction::Close(line)) => {
                 self.line_over(line);
                 None
             }
@@ -247,22 +249,22 @@
     }
 
     /// The connection to a machine, where it is open.
-    fn line(&self, line: LineId) -> Option<Rc<Socket>> {
-        match self.lines.borrow().get(&line) {
-            Some(Line::Open(socket)) => Some(socket.clone()),
-            Some(Line::Dialled(_)) | None => None,
+    fn line(&self, line: UpstreamId) -> Option<Rc<Socket>> {
+        match self.upstreams.borrow().get(&line) {
+            Some(Upstream::Open(socket)) => Some(socket.clone()),
+            Some(Upstream::Dialled(_)) | None => None,
         }
     }
 
     /// Writes to a machine: the set-up `offer`, or something else.
-    fn write_line(&self, line: LineId, offer: Option<Id>, bytes: &[u8]) -> Option<Input> {
-        // One that has ended unseen by the door takes nothing either.
-        let Some(socket) = self.line(line) else { return Some(Input::LineUnwritten(line, offer)) };
+    fn write_line(&self, line: UpstreamId, offer: Option<Id>, bytes: &[u8]) -> Option<Input> {
+        // One that has ended unseen by the gateway takes nothing either.
+        let Some(socket) = self.line(line) else { return Some(Input::UpstreamUnwritten(line, offer)) };
         match self.write(socket, bytes) {
             Wrote::Taken => None,
             // The machine may have written something before it ended the connection: it is read on.
-            Wrote::Nothing => Some(Input::LineUnwritten(line, offer)),
-            Wrote::Part => self.line_over(line).then_some(Input::LineEnded(line)),
+            Wrote::Nothing => Some(Input::UpstreamUnwritten(line, offer)),
+            Wrote::Part => self.line_over(line).then_some(Input::UpstreamEnded(line)),
         }
     }
 
@@ -281,7 +283,7 @@
         decoder: &mut Decoder,
         read: usize,
         said: impl Fn(Message) -> Input,
-        spoilt: Input,
+        malformed: Input,
     ) -> Vec<Input> {
         decoder.feed(&self.buffer.borrow()[..read]);
         let mut inputs = Vec::new();
@@ -290,24 +292,24 @@
                 Ok(Some(message)) => inputs.push(said(message)),
                 Ok(None) => return inputs,
                 Err(problem) => {
-                    tracing::debug!(scheduler = self.name, %problem, ?spoilt);
-                    inputs.push(spoilt);
+                    tracing::debug!(scheduler = self.name, %problem, ?malformed);
+                    inputs.push(malformed);
                     return inputs;
                 }
             }
         }
     }
 
-    fn client_over(&self, client: ClientId) -> bool {
-        let socket = self.clients.borrow_mut().remove(&client);
+    fn client_over(&self, client: DownstreamId) -> bool {
+        let socket = self.downstreams.borrow_mut().remove(&client);
         socket.inspect(|socket| socket.close()).is_some()
     }
 
-    fn line_over(&self, line: LineId) -> bool {
-        match self.lines.borrow_mut().remove(&line) {
-            Some(Line::Open(socket)) => socket.close(),
+    fn line_over(&self, line: UpstreamId) -> bool {
+        match self.upstreams.borrow_mut().remove(&line) {
+            Some(Upstream::Open(socket)) => socket.close(),
             // The dial ends here, and its descriptor is free again.
-            Some(Line::Dialled(dial)) => drop(dial),
+            Some(Upstream::Dialled(dial)) => drop(dial),
             None => return false,
         }
         true
@@ -317,14 +319,14 @@
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    let client = ClientId(self.next_client.replace(self.next_client.get() + 1));
+                    let client = DownstreamId(self.next_client.replace(self.next_client.get() + 1));
                     let socket = Socket::new(stream);
-                    self.clients.borrow_mut().insert(client, socket.clone());
-                    let ticket = self.put(Input::ClientOpened(client, from.ip()));
+                    self.downstreams.borrow_mut().insert(client, socket.clone());
+                    let sequence = self.put(Input::DownstreamOpened(client, from.ip()));
                     self.spawn(self.clone().serve(client, socket));
                     // A flood of connections is accepted at once, one after the other: those closed for it, and
                     // all others, must have their turn in between.
-                    self.taken(ticket).await;
+                    self.taken(sequence).await;
                 }
                 Err(problem) => {
                     tracing::warn!(scheduler = self.name, %problem, "accept");
@@ -334,7 +336,7 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, client: ClientId, socket: Rc<Socket>) {
+    async fn serve(self: Rc<Self>, client: DownstreamId, socket: Rc<Socket>) {
         let mut decoder = Decoder::default();
         let mut half_since = None;
         loop {
@@ -343,84 +345,84 @@
                 Some(read) => read.unwrap_or(0),
                 None => {
                     tracing::debug!(scheduler = self.name, ?client, "half a message, and no more");
-                    self.put(Input::ClientSpoilt(client));
+                    self.put(Input::DownstreamMalformed(client));
                     return;
                 }
             };
-            if !self.clients.borrow().contains_key(&client) {
+            if !self.downstreams.borrow().contains_key(&client) {
                 return;
             }
             if read == 0 {
                 break;
             }
-            let said = |message| Input::ClientSaid(client, message);
-            let inputs = self.take_in(&mut decoder, read, said, Input::ClientSpoilt(client));
+            let said = |message| Input::DownstreamSaid(client, message);
+            let inputs = self.take_in(&mut decoder, read, said, Input::DownstreamMalformed(client));
             half_since = match (decoder.unfinished(), inputs.is_empty()) {
                 (false, _) => None,
                 (true, true) => half_since.or_else(|| Some(clock::now())),
                 (true, false) => Some(clock::now()),
             };
-            if let Some(ticket) = inputs.into_iter().fold(None, |_, input| Some(self.put(input))) {
-                self.taken(ticket).await;
+            if let Some(sequence) = inputs.into_iter().fold(None, |_, input| Some(self.put(input))) {
+                self.taken(sequence).await;
             }
         }
-        self.put(Input::ClientClosed(client));
+        self.put(Input::DownstreamClosed(client));
     }
 
-    async fn dial(self: Rc<Self>, line: LineId, address: String) {
+    async fn dial(self: Rc<Self>, line: UpstreamId, address: String) {
         let made = match address.parse::<SocketAddr>() {
             Ok(address) => Async::<TcpStream>::connect(address).await,
             Err(e) => Err(std::io::Error::new(std::io::ErrorKind::InvalidInput, e)),
         };
         // From here on it is this task that reads the connection: it is no more ended with the dial.
-        match self.lines.borrow_mut().remove(&line) {
-            Some(Line::Dialled(dial)) => dial.detach(),
+        match self.upstreams.borrow_mut().remove(&line) {
+            Some(Upstream::Dialled(dial)) => dial.detach(),
             _ => return,
         }
         let socket = match made {
             Ok(stream) => Socket::new(stream),
             Err(problem) => {
                 let refused = problem.kind() == std::io::ErrorKind::ConnectionRefused;
-                self.put(if refused { Input::LineRefused(line) } else { Input::LineFailed(line) });
+                self.put(if refused { Input::UpstreamRefused(line) } else { Input::UpstreamFailed(line) });
                 return;
             }
         };
-        self.lines.borrow_mut().insert(line, Line::Open(socket.clone()));
-        self.put(Input::LineOpened(line));
+        self.upstreams.borrow_mut().insert(line, Upstream::Open(socket.clone()));
+        self.put(Input::UpstreamOpened(line));
         self.hear(line, socket).await;
     }
 
-    async fn hear(self: &Rc<Self>, line: LineId, socket: Rc<Socket>) {
+    async fn hear(self: &Rc<Self>, line: UpstreamId, socket: Rc<Socket>) {
         let mut decoder = Decoder::default();
         loop {
             let read = socket.read(&self.buffer).await.unwrap_or(0);
-            if !self.lines.borrow().contains_key(&line) {
+            if !self.upstreams.borrow().contains_key(&line) {
                 return;
             }
             if read == 0 {
                 break;
             }
-            let said = |message| Input::LineSaid(line, message);
-            for input in self.take_in(&mut decoder, read, said, Input::LineSpoilt(line)) {
+            let said = |message| Input::UpstreamSaid(line, message);
+            for input in self.take_in(&mut decoder, read, said, Input::UpstreamMalformed(line)) {
                 self.put(input);
             }
             // All that is owed goes into the next step, which comes before this is polled again.
             futures_lite::future::yield_now().await;
         }
-        self.put(Input::LineEnded(line));
+        self.put(Input::UpstreamEnded(line));
     }
 
     fn follow(self: &Rc<Self>) {
         let (this, that) = (self.clone(), self.clone());
-        let noticed = move || this.door.borrow().noticed();
+        let delivered = move || this.gateway.borrow().delivered();
         let take = move |data: &str| {
-            let notice = tidespur_platform::board::notice(that.door.borrow().site(), data);
+            let notice = tidespur_platform::discovery::event(that.gateway.borrow().site(), data);
             match notice {
-                Ok(notice) => that.step(vec![Input::Noticed(notice)]),
+                Ok(notice) => that.step(vec![Input::Delivered(notice)]),
                 Err(problem) => tracing::warn!(scheduler = that.name, problem),
             }
         };
-        self.spawn(board::follow(self.board.clone(), noticed, take));
+        self.spawn(discovery::follow(self.board.clone(), delivered, take));
     }
 
     async fn signals(self: Rc<Self>, mut signals: Signals) {
--- a/crates/platform-net/src/socket.rs
+++ b/crates/platform-net/src/socket.rs
@@ -28,7 +28,7 @@
     stream: Async<TcpStream>,
     waiting: RefCell<Vec<u8>>,
     /// It is finished once nothing waits: else a release that waits behind a set-up would never leave.
-    finishing: Cell<bool>,
+    half_closed: Cell<bool>,
 }
 
 impl Socket {
@@ -36,7 +36,7 @@
     pub fn new(stream: Async<TcpStream>) -> Rc<Self> {
         // Without it answers wait for acknowledgements; a socket that refuses it still works.
         let _ = stream.get_ref().set_nodelay(true);
-        Rc::new(Self { stream, waiting: RefCell::default(), finishing: Cell::new(false) })
+        Rc::new(Self { stream, waiting: RefCell::default(), half_closed: Cell::new(false) })
     }
 
     /// Writes what the peer takes at once; the rest waits for [`Socket::drain`], and then `true` comes along.
@@ -77,7 +77,7 @@
             }
             if waiting.is_empty() {
                 *waiting = Vec::new();
-                if self.finishing.get() {
+                if self.half_closed.get() {
                     self.shut();
                 }
                 return Ok(());
@@ -98,7 +98,7 @@
 
     /// Writes what waits and then no more, and is still read.
     pub fn finish(&self) {
-        self.finishing.set(true);
+        self.half_closed.set(true);
         if self.waiting.borrow().is_empty() {
             self.shut();
         }
--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -1,4 +1,4 @@
-//! What the door has done, for its log.
+//! What the gateway has done, for its log.
 
 /// Counters since the start.
 #[derive(Clone, Copy, Debug, Default)]
@@ -16,15 +16,15 @@
     /// Of these, set-ups turned away as the loop was behind.
     pub shed: u64,
     /// The most that the loop was behind so far, in milliseconds.
-    pub behind_most: u64,
+    pub lag_most: u64,
     /// Failures.
     pub failed: u64,
     /// Set-ups that their owners gave up, or whose connection ended.
-    pub dropped: u64,
+    pub cancelled: u64,
     /// Offers written or dialled for.
     pub offers: u64,
     /// Offers without an answer in time.
-    pub late: u64,
+    pub timed_out: u64,
     /// Offers that never left.
     pub unsent: u64,
     /// Offers whose connection ended.
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/discovery.rs
@@ -20,7 +20,7 @@
 
 /// One numbered event.
 #[derive(Clone, Debug)]
-pub struct Notice {
+pub struct Delivery {
     /// Its number.
     pub number: u64,
     /// It holds the whole list.
@@ -31,7 +31,7 @@
 
 /// An event as it is told.
 #[derive(Deserialize)]
-pub struct WireNotice {
+pub struct WireEvent {
     rev: u64,
     pool: Option<WirePool>,
 }
@@ -72,13 +72,13 @@
 ///
 /// # Errors
 /// Says what can't be read; such an event counts as none.
-pub fn notice(site: &Site, data: &str) -> Result<Notice, String> {
-    let wire: WireNotice = serde_json::from_str(data).map_err(|e| format!("the notice board: {e}"))?;
+pub fn event(site: &Site, data: &str) -> Result<Delivery, String> {
+    let wire: WireEvent = serde_json::from_str(data).map_err(|e| format!("the notice board: {e}"))?;
     Ok(read(site, wire))
 }
 
 /// Puts names to numbers and states to standings.
-pub fn read(site: &Site, wire: WireNotice) -> Notice {
+pub fn read(site: &Site, wire: WireEvent) -> Delivery {
     let pool = wire.pool.unwrap_or(WirePool { reset: false, instances: Vec::new() });
     let index = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
     let listed = pool.instances.into_iter().map(|wire| {
@@ -102,7 +102,7 @@
         };
         Listed { entry, name: wire.instance_id, address: wire.host_port }
     });
-    Notice { number: wire.rev, whole: pool.reset, listed: listed.collect() }
+    Delivery { number: wire.rev, whole: pool.reset, listed: listed.collect() }
 }
 
 /// Puts server-sent events together from lines. An event without its blank line at the end is none.
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/downstream.rs
@@ -1,6 +1,6 @@
 //! Connections that came in: which may stay, which are closed, and which one leads to an owner.
 
-use crate::ClientId;
+use crate::DownstreamId;
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use tidespur_policy::interface::Seconds;
@@ -33,12 +33,12 @@
 
 /// All connections that came in.
 #[derive(Debug)]
-pub struct Clients {
-    clients: BTreeMap<ClientId, Client>,
+pub struct Downstreams {
+    clients: BTreeMap<DownstreamId, Client>,
     most: usize,
 }
 
-impl Clients {
+impl Downstreams {
     /// None yet; at most `most` at once.
     pub fn new(most: usize) -> Self {
         Self { clients: BTreeMap::new(), most: most.max(1) }
@@ -50,13 +50,13 @@
     }
 
     /// Whether it is still there.
-    pub fn has(&self, id: ClientId) -> bool {
+    pub fn has(&self, id: DownstreamId) -> bool {
         self.clients.contains_key(&id)
     }
 
     /// One comes in. Tells which is closed for it where there is no room: the oldest of those that never sent
     /// anything of use, else the one idle longest, else itself.
-    pub fn opened(&mut self, now: Seconds, id: ClientId, from: IpAddr) -> Option<ClientId> {
+    pub fn opened(&mut self, now: Seconds, id: DownstreamId, from: IpAddr) -> Option<DownstreamId> {
         let made = Client {
             from,
             opened_at: now,
@@ -81,28 +81,28 @@
     }
 
     /// It is gone.
-    pub fn closed(&mut self, id: ClientId) {
+    pub fn closed(&mut self, id: DownstreamId) {
         self.clients.remove(&id);
     }
 
     /// It sent a set-up that can be used.
-    pub fn proves(&mut self, now: Seconds, id: ClientId) {
+    pub fn proves(&mut self, now: Seconds, id: DownstreamId) {
         if let Some(client) = self.clients.get_mut(&id) {
             (client.proved, client.used_at) = (true, now);
         }
     }
 
     /// It sent something of no use; `true`: too often.
-    pub fn useless(&mut self, now: Seconds, id: ClientId) -> bool {
+    pub fn useless(&mut self, now: Seconds, id: DownstreamId) -> bool {
         self.counts_against(now, id, 1.0)
     }
 
     /// It sent something that is free; `true`: far too often.
-    pub fn free(&mut self, now: Seconds, id: ClientId) -> bool {
+    pub fn free(&mut self, now: Seconds, id: DownstreamId) -> bool {
         self.counts_against(now, id, FREE)
     }
 
-    fn counts_against(&mut self, now: Seconds, id: ClientId, much: f64) -> bool {
+    fn counts_against(&mut self, now: Seconds, id: DownstreamId, much: f64) -> bool {
         self.clients.get_mut(&id).is_some_and(|client| {
             let (useless, at) = client.useless;
             client.useless = ((useless - FORGIVEN * (now - at)).max(0.0) + much, now);
@@ -111,14 +111,14 @@
     }
 
     /// It is sent a release, and may say that it heard it.
-    pub fn released(&mut self, id: ClientId) {
+    pub fn released(&mut self, id: DownstreamId) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.unheard = client.unheard.saturating_add(1);
         }
     }
 
     /// It says that it heard a release; `true`: none was sent, and that too often.
-    pub fn heard(&mut self, now: Seconds, id: ClientId) -> bool {
+    pub fn heard(&mut self, now: Seconds, id: DownstreamId) -> bool {
         match self.clients.get_mut(&id).filter(|client| client.unheard > 0) {
             Some(client) => {
                 client.unheard -= 1;
@@ -129,12 +129,12 @@
     }
 
     /// Its set-ups without an answer.
-    pub fn open(&self, id: ClientId) -> usize {
+    pub fn open(&self, id: DownstreamId) -> usize {
         self.clients.get(&id).map_or(0, |client| client.open)
     }
 
     /// A set-up was opened (`true`) or is over.
-    pub fn count_open(&mut self, now: Seconds, id: ClientId, more: bool) {
+    pub fn count_open(&mut self, now: Seconds, id: DownstreamId, more: bool) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.open = if more { client.open + 1 } else { client.open.saturating_sub(1) };
             client.used_at = now;
@@ -142,7 +142,7 @@
     }
 
     /// A task of its stands (`true`) or is over.
-    pub fn count_standing(&mut self, id: ClientId, more: bool) {
+    pub fn count_standing(&mut self, id: DownstreamId, more: bool) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.standing = if more { client.standing + 1 } else { client.standing.saturating_sub(1) };
             client.owner |= more;
@@ -152,26 +152,27 @@
     /// A connection that leads to the owner that came by `id` from `from`: that one, else one from the same
     /// address, else any other of an owner. A connection of which no task ever stood is not taken: whoever
     /// asks for what can't be had may come from the same address.
-    pub fn way(&self, id: Option<ClientId>, from: Option<IpAddr>) -> Option<ClientId> {
+    pub fn way(&self, id: Option<DownstreamId>, from: Option<IpAddr>) -> Option<DownstreamId> {
         if let Some(id) = id.filter(|id| self.clients.contains_key(id)) {
             return Some(id);
         }
         let owners = || self.clients.iter().filter(|(_, client)| client.owner);
         let near = owners().filter(|(_, client)| Some(client.from) == from);
-        let newest = |a: &(&ClientId, &Client), b: &(&ClientId, &Client)| a.1.used_at.total_cmp(&b.1.used_at);
+        let newest =
+            |a: &(&DownstreamId, &Client), b: &(&DownstreamId, &Client)| a.1.used_at.total_cmp(&b.1.used_at);
         near.max_by(newest).or_else(|| owners().max_by(newest)).map(|(&id, _)| id)
     }
 
     /// Where a connection came from.
-    pub fn from(&self, id: ClientId) -> Option<IpAddr> {
+    pub fn from(&self, id: DownstreamId) -> Option<IpAddr> {
         self.clients.get(&id).map(|client| client.from)
     }
 
     /// Those that have said nothing of use for too long; they are no more.
-    pub fn silent(&mut self, now: Seconds) -> Vec<ClientId> {
+    pub fn silent(&mut self, now: Seconds) -> Vec<DownstreamId> {
         let silent =
             |client: &Client| !client.proved && client.open == 0 && now - client.opened_at > SILENT_FOR;
-        let over: Vec<ClientId> =
+        let over: Vec<DownstreamId> =
             self.clients.iter().filter(|(_, client)| silent(client)).map(|(&id, _)| id).collect();
         for id in &over {
             self.clients.remove(id);
--- a/crates/platform/src/turn.rs
+++ b/crates/platform/src/input_queue.rs
@@ -7,53 +7,53 @@
 use std::collections::VecDeque;
 
 /// Inputs of clients that one step takes in; the rest waits for the next. Bounds how long what is owed waits.
-const ASKED_MOST: usize = 64;
+const REQUESTS_AT_ONCE: usize = 64;
 
 /// The place of a client's input in the order in which they came.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Ticket(u64);
+pub struct Sequence(u64);
 
 /// Inputs that wait.
 #[derive(Debug, Default)]
-pub struct Turn {
+pub struct InputQueue {
     /// Words of machines and of the notice board: ends, answers, proofs.
-    owed: Vec<Input>,
+    completions: Vec<Input>,
     /// Words of clients, in the order in which they came.
-    asked: VecDeque<Input>,
+    requests: VecDeque<Input>,
     put: u64,
 }
 
-impl Turn {
-    /// Puts in what came. The ticket tells when it was taken, by [`Turn::taken`].
-    pub fn put(&mut self, input: Input) -> Ticket {
+impl InputQueue {
+    /// Puts in what came. The sequence tells when it was taken, by [`InputQueue::taken`].
+    pub fn put(&mut self, input: Input) -> Sequence {
         match input {
-            Input::ClientOpened(..)
-            | Input::ClientSaid(..)
-            | Input::ClientSpoilt(_)
-            | Input::ClientClosed(_) => {
-                self.asked.push_back(input);
+            Input::DownstreamOpened(..)
+            | Input::DownstreamSaid(..)
+            | Input::DownstreamMalformed(_)
+            | Input::DownstreamClosed(_) => {
+                self.requests.push_back(input);
                 self.put += 1;
             }
-            _ => self.owed.push(input),
+            _ => self.completions.push(input),
         }
-        Ticket(self.put)
+        Sequence(self.put)
     }
 
     /// Whether this one was taken: its connection may be read on.
-    pub fn taken(&self, ticket: Ticket) -> bool {
-        self.put - self.asked.len() as u64 >= ticket.0
+    pub fn taken(&self, sequence: Sequence) -> bool {
+        self.put - self.requests.len() as u64 >= sequence.0
     }
 
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.owed.is_empty() && self.asked.is_empty()
+        self.completions.is_empty() && self.requests.is_empty()
     }
 
     /// What the next step takes in: all that is owed, if anything is, else the next of what is asked.
     pub fn take(&mut self) -> Vec<Input> {
-        if !self.owed.is_empty() {
-            return std::mem::take(&mut self.owed);
+        if !self.completions.is_empty() {
+            return std::mem::take(&mut self.completions);
         }
-        self.asked.drain(..self.asked.len().min(ASKED_MOST)).collect()
+        self.requests.drain(..self.requests.len().min(REQUESTS_AT_ONCE)).collect()
     }
 }
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/table.rs
@@ -1,7 +1,7 @@
 //! Requests: which id is which task, what is out for it, where it stands, and whether its owner has its answer.
 
 use crate::message::Id;
-use crate::{ClientId, LineId};
+use crate::{DownstreamId, UpstreamId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
 use tidespur_policy::interface::{MachineId, Seconds, TaskId};
@@ -16,7 +16,7 @@
     /// Its number.
     pub number: u32,
     /// The connection that carries it.
-    pub line: LineId,
+    pub line: UpstreamId,
     /// When it is given up.
     pub until: Seconds,
 }
@@ -48,7 +48,7 @@
     /// The policy's name for it.
     pub task: TaskId,
     /// The connection of its set-up, or by which its owner came back; it may have gone.
-    pub client: ClientId,
+    pub client: DownstreamId,
     /// The address it came from.
     pub from: Option<IpAddr>,
     /// Where it is.
@@ -65,11 +65,11 @@
 
 /// All requests.
 #[derive(Debug, Default)]
-pub struct Desk {
+pub struct RequestTable {
     requests: BTreeMap<Id, Request>,
     ids: BTreeMap<TaskId, Id>,
     /// Open requests of a connection, tasks that stand at a machine.
-    of_client: BTreeSet<(ClientId, Id)>,
+    of_client: BTreeSet<(DownstreamId, Id)>,
     at_machine: BTreeSet<(MachineId, Id)>,
     untils: BTreeSet<(u64, Id)>,
     ended: VecDeque<(Seconds, Id)>,
@@ -81,7 +81,7 @@
     (at.max(0.0) * 1e6) as u64
 }
 
-impl Desk {
+impl RequestTable {
     /// Requests there are.
     pub fn count(&self) -> usize {
         self.requests.len()
@@ -120,7 +120,7 @@
         self.requests.insert(id, request);
     }
 
-    fn index(&mut self, id: Id, client: ClientId, stage: Stage, add: bool) {
+    fn index(&mut self, id: Id, client: DownstreamId, stage: Stage, add: bool) {
         match stage {
             Stage::Open { attempt, .. } => {
                 let until = attempt.map(|attempt| (micros(attempt.until), id));
@@ -154,7 +154,7 @@
     }
 
     /// The owner of a task that stands came back by another connection.
-    pub fn reached_by(&mut self, id: Id, client: ClientId, from: Option<IpAddr>) {
+    pub fn reached_by(&mut self, id: Id, client: DownstreamId, from: Option<IpAddr>) {
         if let Some(request) = self.requests.get_mut(&id)
             && matches!(request.stage, Stage::Standing { .. })
         {
@@ -171,7 +171,7 @@
     }
 
     /// Open requests of a connection.
-    pub fn of_client(&self, client: ClientId) -> Vec<Id> {
+    pub fn of_client(&self, client: DownstreamId) -> Vec<Id> {
         let range = (client, Id(0))..=(client, Id(u64::MAX));
         self.of_client.range(range).map(|&(_, id)| id).collect()
     }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -1,14 +1,14 @@
-//! A door with owners and machines played by hand. No sockets.
+//! A gateway with owners and machines played by hand. No sockets.
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::net::{IpAddr, Ipv4Addr};
-use tidespur_platform::lines::LineAction;
 use tidespur_platform::message::{Decoder, Id, Kind, Message, code};
-use tidespur_platform::{ClientId, Door, Input, Limits, LineId, Output, board};
+use tidespur_platform::pool::PoolAction;
+use tidespur_platform::{DownstreamId, Gateway, Input, Limits, Output, UpstreamId, discovery};
 use tidespur_settings::{Info, Site};
 
-pub const OWNER: ClientId = ClientId(1);
-pub const OTHER: ClientId = ClientId(2);
+pub const OWNER: DownstreamId = DownstreamId(1);
+pub const OTHER: DownstreamId = DownstreamId(2);
 
 /// Settings with a class that may run twice and one that must not.
 pub const INFO: &str = r#"{"balancers":1,"ordinal":0,"locality":0,"discovery":"ask","odd":[1],
@@ -43,7 +43,7 @@
     let text = format!(
         r#"{{"rev":{number},"pool":{{"generation":{number},"reset":{whole},"instances":[{entries}]}}}}"#
     );
-    Input::Noticed(board::notice(&site(), &text).unwrap())
+    Input::Delivered(discovery::event(&site(), &text).unwrap())
 }
 
 pub fn set_up(id: u64, class: &str) -> Message {
@@ -72,9 +72,9 @@
     Message::release(Id(id), cause)
 }
 
-/// A door, and what it wants done.
+/// A gateway, and what it wants done.
 pub struct Played {
-    pub door: Door,
+    pub gateway: Gateway,
     pub now: f64,
     pub out: Vec<Output>,
 }
@@ -87,70 +87,70 @@
 
     /// The same under other limits.
     pub fn with(machines: u32, limits: Limits) -> Self {
-        let door = Door::new(site(), limits, 7).unwrap();
-        let mut played = Self { door, now: 1000.0, out: Vec::new() };
+        let gateway = Gateway::new(site(), limits, 7).unwrap();
+        let mut played = Self { gateway, now: 1000.0, out: Vec::new() };
         let list: Vec<(u32, &str, u64)> = (1..=machines).map(|n| (n, "Ready", 0)).collect();
         played.step(notice(1, true, &list));
-        played.step(Input::ClientOpened(OWNER, address(1)));
-        played.step(Input::ClientOpened(OTHER, address(2)));
+        played.step(Input::DownstreamOpened(OWNER, address(1)));
+        played.step(Input::DownstreamOpened(OTHER, address(2)));
         played
     }
 
     /// One input; what it leads to stands in `out` alone.
     pub fn step(&mut self, input: Input) -> &[Output] {
         self.out.clear();
-        self.door.step(self.now, [input], &mut self.out);
+        self.gateway.step(self.now, [input], &mut self.out);
         &self.out
     }
 
-    /// Time goes on by steps as short as the door asks for; all that is wanted meanwhile stands in `out`.
+    /// Time goes on by steps as short as the gateway asks for; all that is wanted meanwhile stands in `out`.
     /// Machines can't be reached, where `refused` says so because nobody listens.
     pub fn wait(&mut self, seconds: f64, refused: Option<bool>) {
         let until = self.now + seconds;
         let mut all = Vec::new();
         while self.now < until {
-            self.now = self.door.next_wake().clamp(self.now + 0.001, until);
+            self.now = self.gateway.next_wake().clamp(self.now + 0.001, until);
             self.step(Input::Tick);
-            let dials: Vec<LineId> = self.dials().iter().map(|dial| dial.0).collect();
+            let dials: Vec<UpstreamId> = self.dials().iter().map(|dial| dial.0).collect();
             all.append(&mut self.out);
             for line in dials.into_iter().filter(|_| refused == Some(true)) {
-                self.step(Input::LineRefused(line));
+                self.step(Input::UpstreamRefused(line));
                 all.append(&mut self.out);
             }
         }
         self.out = all;
     }
 
-    pub fn client_says(&mut self, client: ClientId, message: Message) -> &[Output] {
-        self.step(Input::ClientSaid(client, message))
+    pub fn client_says(&mut self, client: DownstreamId, message: Message) -> &[Output] {
+        self.step(Input::DownstreamSaid(client, message))
     }
 
-    pub fn machine_says(&mut self, line: LineId, message: Message) -> &[Output] {
-        self.step(Input::LineSaid(line, message))
+    pub fn machine_says(&mut self, line: UpstreamId, message: Message) -> &[Output] {
+        self.step(Input::UpstreamSaid(line, message))
     }
 
     /// Connections that are to be dialled: which, and where to.
-    pub fn dials(&self) -> Vec<(LineId, String)> {
+    pub fn dials(&self) -> Vec<(UpstreamId, String)> {
         let dial = |output: &Output| match output {
-            Output::Line(LineAction::Dial(line, address)) => Some((*line, address.clone())),
+            Output::Upstream(PoolAction::Dial(line, address)) => Some((*line, address.clone())),
             _ => None,
         };
         self.out.iter().filter_map(dial).collect()
     }
 
     /// Messages to a client.
-    pub fn told(&self, client: ClientId) -> Vec<Message> {
+    pub fn told(&self, client: DownstreamId) -> Vec<Message> {
         let told = |output: &Output| match output {
-            Output::Client(to, bytes) if *to == client => Some(read(bytes)),
+            Output::Downstream(to, bytes) if *to == client => Some(read(bytes)),
             _ => None,
         };
         self.out.iter().filter_map(told).flatten().collect()
     }
 
     /// Messages to machines.
-    pub fn written(&self) -> Vec<(LineId, Message)> {
+    pub fn written(&self) -> Vec<(UpstreamId, Message)> {
         let written = |output: &Output| match output {
-            Output::Line(LineAction::Write(line, bytes) | LineAction::Offer(line, _, bytes)) => {
+            Output::Upstream(PoolAction::Write(line, bytes) | PoolAction::Offer(line, _, bytes)) => {
                 Some((*line, bytes.clone()))
             }
             _ => None,
@@ -159,32 +159,32 @@
         all.flat_map(|(line, bytes)| read(&bytes).into_iter().map(move |m| (line, m))).collect()
     }
 
-    pub fn closed_lines(&self) -> Vec<LineId> {
+    pub fn closed_lines(&self) -> Vec<UpstreamId> {
         let closed = |output: &Output| match output {
-            Output::Line(LineAction::Close(line) | LineAction::Finish(line)) => Some(*line),
+            Output::Upstream(PoolAction::Close(line) | PoolAction::HalfClose(line)) => Some(*line),
             _ => None,
         };
         self.out.iter().filter_map(closed).collect()
     }
 
-    pub fn closed_clients(&self) -> Vec<ClientId> {
+    pub fn closed_clients(&self) -> Vec<DownstreamId> {
         let closed = |output: &Output| match output {
-            Output::CloseClient(client) => Some(*client),
+            Output::CloseDownstream(client) => Some(*client),
             _ => None,
         };
         self.out.iter().filter_map(closed).collect()
     }
 
     /// A set-up is taken, and its offer is written on a new connection: that one and the machine's address.
-    pub fn offered(&mut self, message: Message) -> (LineId, String) {
+    pub fn offered(&mut self, message: Message) -> (UpstreamId, String) {
         self.client_says(OWNER, message);
         let (line, address) = self.dials().pop().expect("a dial");
-        self.step(Input::LineOpened(line));
+        self.step(Input::UpstreamOpened(line));
         (line, address)
     }
 
     /// A task that stands, on the connection of its offer.
-    pub fn standing(&mut self, id: u64, class: &str) -> (LineId, String) {
+    pub fn standing(&mut self, id: u64, class: &str) -> (UpstreamId, String) {
         let (line, address) = self.offered(set_up(id, class));
         self.machine_says(line, answer(id));
         assert_eq!(self.told(OWNER)[0].kind, Kind::Answer);
--- a/crates/platform/tests/door.rs
+++ b/crates/platform/tests/gateway.rs
@@ -1,19 +1,19 @@
-//! Faults played at the door, one a test.
+//! Faults played at the gateway, one a test.
 
 mod common;
 
 use common::*;
 use std::collections::BTreeMap;
-use tidespur_platform::lines::LineAction;
 use tidespur_platform::message::{Id, Kind, Message, cause, code};
-use tidespur_platform::{ClientId, Input, Limits, LineId, Output};
+use tidespur_platform::pool::PoolAction;
+use tidespur_platform::{DownstreamId, Input, Limits, Output, UpstreamId};
 
 #[test]
 fn a_task_is_offered_and_the_machines_description_passed_on_unchanged() {
     let mut p = Played::new(3);
     p.client_says(OWNER, set_up(5, "web"));
     let (line, _) = p.dials()[0].clone();
-    p.step(Input::LineOpened(line));
+    p.step(Input::UpstreamOpened(line));
     let (on, offer) = p.written().remove(0);
     assert_eq!((on, offer.kind, offer.id), (line, Kind::SetUp, Id(5)));
     assert_eq!(offer.get(code::DESCRIPTION), Some(&b"v=0 \x00\xff"[..]));
@@ -36,7 +36,7 @@
     // What the first says now is no answer any more.
     p.machine_says(first, answer(5));
     assert!(p.told(OWNER).is_empty());
-    p.step(Input::LineOpened(second));
+    p.step(Input::UpstreamOpened(second));
     p.machine_says(second, answer(5));
     assert_eq!(p.told(OWNER).len(), 1);
 }
@@ -45,7 +45,7 @@
 fn what_may_have_run_and_must_not_run_twice_fails_when_its_connection_breaks() {
     let mut p = Played::new(3);
     let (line, _) = p.offered(set_up(5, "slot"));
-    p.step(Input::LineEnded(line));
+    p.step(Input::UpstreamEnded(line));
     assert!(p.dials().is_empty(), "never sent again");
     let told = p.told(OWNER);
     assert_eq!(told.len(), 1);
@@ -57,7 +57,7 @@
 
 #[test]
 fn what_never_left_is_sent_elsewhere_even_if_it_must_not_run_twice() {
-    for unsent in [Input::LineRefused, Input::LineEnded] {
+    for unsent in [Input::UpstreamRefused, Input::UpstreamEnded] {
         let mut p = Played::new(3);
         p.client_says(OWNER, set_up(5, "slot"));
         let (line, _) = p.dials()[0].clone();
@@ -66,7 +66,7 @@
     }
     let mut p = Played::new(3);
     let (line, _) = p.offered(set_up(5, "slot"));
-    p.step(Input::LineUnwritten(line, Some(Id(5))));
+    p.step(Input::UpstreamUnwritten(line, Some(Id(5))));
     assert_eq!(p.dials().len(), 1);
 }
 
@@ -88,7 +88,7 @@
     assert!(p.written().iter().any(|(line, m)| *line == first && m.cause() == Some(cause::NORMAL)));
     assert!(p.closed_lines().contains(&first), "a connection that was silent is used no more");
     let (second, _) = p.dials().first().cloned().expect("sent again");
-    p.step(Input::LineOpened(second));
+    p.step(Input::UpstreamOpened(second));
     p.machine_says(first, answer(5));
     assert!(p.told(OWNER).is_empty());
 }
@@ -97,12 +97,12 @@
 fn after_a_spoilt_answer_the_connection_carries_nothing_more() {
     let mut p = Played::new(2);
     let (line, _) = p.offered(set_up(5, "web"));
-    p.step(Input::LineSpoilt(line));
+    p.step(Input::UpstreamMalformed(line));
     assert!(p.closed_lines().contains(&line));
     let (next, _) = p.dials().first().cloned().expect("sent again on another connection");
     assert_ne!(next, line);
-    // An answer without a description is spoilt too.
-    p.step(Input::LineOpened(next));
+    // An answer without a description is malformed too.
+    p.step(Input::UpstreamOpened(next));
     p.machine_says(next, Message::new(Kind::Answer, Id(5)));
     assert!(p.told(OWNER).is_empty());
     assert!(p.closed_lines().contains(&next));
@@ -174,8 +174,8 @@
     let (line, _) = p.offered(set_up(5, "web"));
     p.client_says(OTHER, set_up(5, "slot"));
     assert_eq!(p.closed_clients(), [OTHER]);
-    p.step(Input::ClientOpened(ClientId(3), address(2)));
-    p.client_says(ClientId(3), release(5, cause::NORMAL));
+    p.step(Input::DownstreamOpened(DownstreamId(3), address(2)));
+    p.client_says(DownstreamId(3), release(5, cause::NORMAL));
     assert!(p.written().is_empty(), "it is not given up either");
     p.machine_says(line, answer(5));
     assert_eq!(p.told(OWNER).len(), 1);
@@ -183,7 +183,7 @@
 
 #[test]
 fn a_set_up_given_up_is_given_up_at_its_machine_and_not_answered() {
-    for ends in [Input::ClientSaid(OWNER, release(5, cause::NORMAL)), Input::ClientClosed(OWNER)] {
+    for ends in [Input::DownstreamSaid(OWNER, release(5, cause::NORMAL)), Input::DownstreamClosed(OWNER)] {
         let mut p = Played::new(2);
         let (line, _) = p.offered(set_up(5, "web"));
         p.step(ends);
@@ -221,7 +221,7 @@
     p.standing(5, "web");
     let mut closed = Vec::new();
     for n in 10..40 {
-        p.step(Input::ClientOpened(ClientId(n), address(9)));
+        p.step(Input::DownstreamOpened(DownstreamId(n), address(9)));
         closed.extend(p.closed_clients());
     }
     assert_eq!(closed.len(), 30 + 2 - 8);
@@ -249,13 +249,13 @@
 fn an_owner_whose_connection_has_gone_is_told_by_another_of_its_own() {
     let mut p = Played::new(1);
     let (line, _) = p.standing(5, "web");
-    p.step(Input::ClientClosed(OWNER));
+    p.step(Input::DownstreamClosed(OWNER));
     p.machine_says(line, release(5, cause::FAILED));
-    assert!(p.out.iter().all(|o| !matches!(o, Output::Client(..))), "no way to it yet");
-    p.step(Input::ClientOpened(ClientId(3), address(1)));
-    p.client_says(ClientId(3), handed(9, "s-1"));
+    assert!(p.out.iter().all(|o| !matches!(o, Output::Downstream(..))), "no way to it yet");
+    p.step(Input::DownstreamOpened(DownstreamId(3), address(1)));
+    p.client_says(DownstreamId(3), handed(9, "s-1"));
     p.wait(0.2, None);
-    assert_eq!(p.told(ClientId(3)), [release(5, cause::FAILED)]);
+    assert_eq!(p.told(DownstreamId(3)), [release(5, cause::FAILED)]);
 }
 
 #[test]
@@ -297,7 +297,7 @@
 fn a_dead_process_loses_its_tasks_once_nobody_listens_there() {
     let mut p = Played::new(1);
     let (line, _) = p.standing(5, "web");
-    p.step(Input::LineEnded(line));
+    p.step(Input::UpstreamEnded(line));
     assert!(p.told(OWNER).is_empty(), "a reset alone proves nothing");
     p.wait(1.0, Some(true));
     assert_eq!(p.told(OWNER), [release(5, cause::FAILED)]);
@@ -318,7 +318,7 @@
     assert!(p.told(OWNER).is_empty(), "it may still finish what it has");
     let text = r#"{"rev":3,"pool":{"reset":false,"instances":[{"instanceId":"new","hostPort":"127.0.1.1:9",
         "zone":"east","machineType":"std","cell":0,"lifecycle":"Ready","startedAtMs":5}]}}"#;
-    p.step(Input::Noticed(tidespur_platform::board::notice(&site(), text).unwrap()));
+    p.step(Input::Delivered(tidespur_platform::discovery::event(&site(), text).unwrap()));
     assert_eq!(p.told(OWNER), [release(5, cause::FAILED)]);
 }
 
@@ -332,7 +332,7 @@
     // Where the owner's connection has gone, it is how the owner comes back.
     p.now += 0.6;
     let (line, _) = p.standing(6, "web");
-    p.step(Input::ClientClosed(OWNER));
+    p.step(Input::DownstreamClosed(OWNER));
     p.client_says(OTHER, handed(6, "s-1"));
     p.machine_says(line, release(6, cause::NORMAL));
     assert_eq!(p.told(OTHER).len(), 1);
@@ -352,7 +352,7 @@
         let (old, new) = (entry("s-1", "Gone"), entry("new", "Ready"));
         let both = if new_first { [new, old] } else { [old, new] }.join(",");
         let text = format!(r#"{{"rev":3,"pool":{{"reset":false,"instances":[{both}]}}}}"#);
-        p.step(Input::Noticed(tidespur_platform::board::notice(&site(), &text).unwrap()));
+        p.step(Input::Delivered(tidespur_platform::discovery::event(&site(), &text).unwrap()));
         assert_eq!(p.told(OWNER), [release(5, cause::FAILED)], "new first: {new_first}");
     }
 }
@@ -362,7 +362,7 @@
     let mut p = Played::new(1);
     let (line, _) = p.standing(5, "web");
     p.client_says(OWNER, set_up(6, "web"));
-    p.step(Input::LineUnwritten(line, Some(Id(6))));
+    p.step(Input::UpstreamUnwritten(line, Some(Id(6))));
     p.machine_says(line, release(5, cause::NORMAL));
     assert_eq!(p.told(OWNER), [release(5, cause::NORMAL)]);
 }
@@ -371,11 +371,11 @@
 fn a_release_never_goes_to_one_of_whom_no_task_stood() {
     let mut p = Played::new(1);
     let (line, _) = p.standing(5, "web");
-    p.step(Input::ClientClosed(OWNER));
-    p.step(Input::ClientOpened(ClientId(3), address(1)));
-    p.client_says(ClientId(3), set_up(9, "web"));
+    p.step(Input::DownstreamClosed(OWNER));
+    p.step(Input::DownstreamOpened(DownstreamId(3), address(1)));
+    p.client_says(DownstreamId(3), set_up(9, "web"));
     p.machine_says(line, release(5, cause::NORMAL));
-    assert!(p.told(ClientId(3)).is_empty());
+    assert!(p.told(DownstreamId(3)).is_empty());
 }
 
 #[test]
@@ -385,7 +385,7 @@
     assert!(p.told(OWNER).is_empty(), "it wants no answer");
     p.wait(0.2, None);
     let (line, _) = p.dials()[0].clone();
-    p.step(Input::LineOpened(line));
+    p.step(Input::UpstreamOpened(line));
     p.machine_says(line, release(5, cause::NORMAL));
     assert_eq!(p.told(OWNER), [release(5, cause::NORMAL)]);
     // Told of an end before it was handed over, and of a machine that is not known.
@@ -482,7 +482,7 @@
 }
 
 /// With two descriptors for machines, set-ups 5 and 7 share a connection that is being dialled.
-fn shared_dial() -> (Played, LineId) {
+fn shared_dial() -> (Played, UpstreamId) {
     let mut p = Played::with(1, Limits { clients: 8, lines: 2 });
     let mut dials = Vec::new();
     for id in [5, 6, 7] {
@@ -498,7 +498,7 @@
     let (mut p, line) = shared_dial();
     p.client_says(OWNER, release(7, cause::NORMAL));
     assert!(p.closed_lines().is_empty(), "the other set-up still waits on it");
-    p.step(Input::LineOpened(line));
+    p.step(Input::UpstreamOpened(line));
     let left: Vec<Id> = p.written().iter().map(|(_, m)| m.id).collect();
     assert_eq!(left, [Id(5)], "what was given up must not leave");
 }
@@ -506,10 +506,10 @@
 #[test]
 fn a_write_that_fails_clears_no_other_set_up_on_the_connection() {
     let (mut p, line) = shared_dial();
-    p.step(Input::LineOpened(line));
+    p.step(Input::UpstreamOpened(line));
     // It is the word that one is given up which could not be written: both set-ups have left.
     p.client_says(OWNER, release(7, cause::NORMAL));
-    p.step(Input::LineUnwritten(line, None));
+    p.step(Input::UpstreamUnwritten(line, None));
     assert_eq!(
         p.told(OWNER).iter().map(|m| (m.id, m.cause())).collect::<Vec<_>>(),
         [(Id(5), Some(cause::FAILED))]
@@ -522,8 +522,8 @@
     let mut p = Played::new(1);
     let (line, _) = p.standing(5, "web");
     p.client_says(OWNER, set_up(6, "web"));
-    p.step(Input::LineUnwritten(line, Some(Id(6))));
-    p.step(Input::LineUnwritten(line, None));
+    p.step(Input::UpstreamUnwritten(line, Some(Id(6))));
+    p.step(Input::UpstreamUnwritten(line, None));
     p.wait(2.5, Some(true));
     assert!(p.closed_lines().contains(&line), "its descriptor would be held for good");
 }
@@ -534,21 +534,21 @@
     let mut todo: Vec<Input> = Vec::new();
     let mut all = Vec::new();
     while p.now < until {
-        p.now = p.door.next_wake().clamp(p.now + 0.001, until);
+        p.now = p.gateway.next_wake().clamp(p.now + 0.001, until);
         todo.push(Input::Tick);
         for input in std::mem::take(&mut todo) {
             p.step(input);
             for (line, address) in p.dials() {
                 *dialled.entry(address).or_default() += 1;
-                todo.extend((!cut).then_some(Input::LineOpened(line)));
+                todo.extend((!cut).then_some(Input::UpstreamOpened(line)));
             }
             for (line, message) in p.written() {
                 let passes = message.kind == Kind::Test && !cut;
                 let tested = Message::new(Kind::Tested, Id(0)).with(code::CAUSE, &[1]);
-                todo.extend(passes.then_some(Input::LineSaid(line, tested)));
+                todo.extend(passes.then_some(Input::UpstreamSaid(line, tested)));
             }
             let finished = |output: &Output| match output {
-                Output::Line(LineAction::Finish(line)) => Some(Input::LineEnded(*line)),
+                Output::Upstream(PoolAction::HalfClose(line)) => Some(Input::UpstreamEnded(*line)),
                 _ => None,
             };
             todo.extend(p.out.iter().filter_map(finished).filter(|_| !cut));
--- a/crates/platform/tests/recover.rs
+++ b/crates/platform/tests/recover.rs
@@ -6,10 +6,10 @@
 
 use common::*;
 use std::collections::{BTreeMap, BTreeSet};
-use tidespur_platform::lines::LineAction;
+use tidespur_platform::input_queue::InputQueue;
 use tidespur_platform::message::{Id, Kind, Message, cause, code};
-use tidespur_platform::turn::Turn;
-use tidespur_platform::{ClientId, Door, Input, Limits, LineId, Output, board};
+use tidespur_platform::pool::PoolAction;
+use tidespur_platform::{DownstreamId, Gateway, Input, Limits, Output, UpstreamId, discovery};
 use tidespur_settings::Info;
 
 const MACHINES: usize = 400;
@@ -38,13 +38,13 @@
 }
 
 struct World {
-    door: Door,
+    gateway: Gateway,
     now: f64,
     events: BTreeMap<(u64, u64), What>,
     next: u64,
-    turn: Turn,
+    turn: InputQueue,
     came: BTreeMap<u64, f64>,
-    lines: BTreeMap<LineId, usize>,
+    lines: BTreeMap<UpstreamId, usize>,
     dead: BTreeSet<usize>,
     full: bool,
     /// Where each task stands, and since when it is over.
@@ -70,7 +70,7 @@
     };
     let entries: Vec<String> = (0..MACHINES).map(entry).collect();
     let text = format!(r#"{{"rev":{number},"pool":{{"reset":true,"instances":[{}]}}}}"#, entries.join(","));
-    Input::Noticed(board::notice(&site(), &text).unwrap())
+    Input::Delivered(discovery::event(&site(), &text).unwrap())
 }
 
 /// Before the loss there is room in the zone that is lost and none elsewhere.
@@ -82,13 +82,13 @@
     fn new() -> Self {
         let info = INFO.replace(r#""balancers":1"#, r#""balancers":16"#);
         let site = serde_json::from_str::<Info>(&info).unwrap().site().unwrap();
-        let door = Door::new(site, Limits::of(784), 7).unwrap();
+        let gateway = Gateway::new(site, Limits::of(784), 7).unwrap();
         let mut world = Self {
-            door,
+            gateway,
             now: 1000.0,
             events: BTreeMap::new(),
             next: 0,
-            turn: Turn::default(),
+            turn: InputQueue::default(),
             came: BTreeMap::new(),
             lines: BTreeMap::new(),
             dead: BTreeSet::new(),
@@ -103,7 +103,7 @@
         };
         world.after(0.0, What::Input(whole(1, room_in_the_zone)));
         for n in 1..=OWNERS {
-            world.after(0.0, What::Input(Input::ClientOpened(ClientId(n), address(1))));
+            world.after(0.0, What::Input(Input::DownstreamOpened(DownstreamId(n), address(1))));
         }
         world.asks(0.01, 300, 1.0);
         world.after(LOSS - 1000.0, What::Loss);
@@ -130,8 +130,8 @@
         let class = if id.0.is_multiple_of(3) { "slot" } else { "web" };
         let mut message = set_up(id.0, class);
         message.parameters.retain(|(c, _)| *c != code::HINT);
-        let owner = ClientId(1 + id.0 % OWNERS);
-        self.put(Input::ClientSaid(owner, message.with(code::HINT, b"60000")));
+        let owner = DownstreamId(1 + id.0 % OWNERS);
+        self.put(Input::DownstreamSaid(owner, message.with(code::HINT, b"60000")));
     }
 
     fn put(&mut self, input: Input) {
@@ -145,11 +145,11 @@
             What::Input(input) => self.put(input),
             What::Loss => {
                 self.dead = (0..LOST).collect();
-                let lost: Vec<LineId> =
+                let lost: Vec<UpstreamId> =
                     self.lines.iter().filter(|(_, m)| self.dead.contains(m)).map(|(&line, _)| line).collect();
                 for line in lost {
                     self.lines.remove(&line);
-                    self.put(Input::LineEnded(line));
+                    self.put(Input::UpstreamEnded(line));
                 }
                 let now = self.now;
                 let over = self.standing.iter().filter(|(_, m)| self.dead.contains(m));
@@ -181,7 +181,7 @@
         }
     }
 
-    fn machine_hears(&mut self, line: LineId, message: &Message) {
+    fn machine_hears(&mut self, line: UpstreamId, message: &Message) {
         let Some(&m) = self.lines.get(&line) else { return };
         let id = message.id;
         let reply = match message.kind {
@@ -193,26 +193,28 @@
             Kind::Test => Message::new(Kind::Tested, id).with(code::CAUSE, &[1]),
             _ => return,
         };
-        self.after(RTT, What::Input(Input::LineSaid(line, reply)));
+        self.after(RTT, What::Input(Input::UpstreamSaid(line, reply)));
     }
 
     fn carry_out(&mut self, output: Output) {
         match output {
-            Output::Client(_, bytes) => read(&bytes).iter().for_each(|message| self.owner_hears(message)),
-            Output::Line(LineAction::Dial(line, at)) => {
+            Output::Downstream(_, bytes) => read(&bytes).iter().for_each(|message| self.owner_hears(message)),
+            Output::Upstream(PoolAction::Dial(line, at)) => {
                 let m = at.rsplit(':').next().and_then(|port| port.parse::<usize>().ok()).unwrap() - 1;
                 if self.dead.contains(&m) {
-                    return self.after(RTT, What::Input(Input::LineRefused(line)));
+                    return self.after(RTT, What::Input(Input::UpstreamRefused(line)));
                 }
                 self.lines.insert(line, m);
-                self.after(RTT, What::Input(Input::LineOpened(line)));
+                self.after(RTT, What::Input(Input::UpstreamOpened(line)));
             }
-            Output::Line(LineAction::Write(line, bytes) | LineAction::Offer(line, _, bytes)) => {
+            Output::Upstream(PoolAction::Write(line, bytes) | PoolAction::Offer(line, _, bytes)) => {
                 read(&bytes).iter().for_each(|message| self.machine_hears(line, message));
             }
-            Output::Line(LineAction::Finish(line)) => self.after(RTT, What::Input(Input::LineEnded(line))),
-            Output::Line(LineAction::Close(line)) => drop(self.lines.remove(&line)),
-            Output::CloseClient(_) | Output::Log(_) | Output::End => {}
+            Output::Upstream(PoolAction::HalfClose(line)) => {
+                self.after(RTT, What::Input(Input::UpstreamEnded(line)))
+            }
+            Output::Upstream(PoolAction::Close(line)) => drop(self.lines.remove(&line)),
+            Output::CloseDownstream(_) | Output::Log(_) | Output::End => {}
         }
     }
 
@@ -225,13 +227,13 @@
                 let (_, what) = self.events.pop_first().unwrap();
                 self.happens(what);
             }
-            let due = self.door.next_wake();
+            let due = self.gateway.next_wake();
             let mut inputs = Vec::new();
             if let Some((_, came)) = self.came.first_key_value() {
                 // As the loop's own timer would tell: what came first is taken in only now.
                 let late = self.now - came;
                 self.behind.push((self.now, late));
-                inputs.push(Input::Behind(late));
+                inputs.push(Input::Lag(late));
                 let taken = self.turn.take();
                 for _ in 0..taken.len() {
                     self.came.pop_first();
@@ -239,17 +241,17 @@
                 inputs.extend(taken);
             } else if due <= self.now {
                 self.behind.push((self.now, 0.0));
-                inputs.extend([Input::Behind(0.0), Input::Tick]);
+                inputs.extend([Input::Lag(0.0), Input::Tick]);
             } else {
                 let next =
                     self.events.first_key_value().map_or(f64::INFINITY, |((at, _), _)| *at as f64 / 1e6);
                 self.now = next.min(due).max(self.now + 1e-6).min(until);
                 continue;
             }
-            let (before, read) = (self.door.looked(), inputs.len());
+            let (before, read) = (self.gateway.looked(), inputs.len());
             let mut out = Vec::new();
-            self.door.step(self.now, inputs, &mut out);
-            let [machines, lines] = self.door.looked();
+            self.gateway.step(self.now, inputs, &mut out);
+            let [machines, lines] = self.gateway.looked();
             let looks = LOOK[0] * (machines - before[0]) as f64 + LOOK[1] * (lines - before[1]) as f64;
             self.now += MESSAGE * read as f64 + looks;
             for output in out {
@@ -274,10 +276,10 @@
     world.play(ROOM - 0.01);
     assert!(world.over.is_empty(), "{} ends were never told", world.over.len());
     assert!(world.told_late < 1.0, "an end was told {} s late", world.told_late);
-    assert!(world.door.sizes()[1] > 600, "{} wait for room", world.door.sizes()[1]);
+    assert!(world.gateway.sizes()[1] > 600, "{} wait for room", world.gateway.sizes()[1]);
     assert!(world.behind_since(LOSS + 2.0) < 0.3, "{} s behind", world.behind_since(LOSS + 2.0));
     world.play(ROOM + 4.0);
-    assert_eq!((world.door.sizes()[1], world.asked.len()), (0, 0), "all is worked off");
+    assert_eq!((world.gateway.sizes()[1], world.asked.len()), (0, 0), "all is worked off");
     assert!(world.behind_since(ROOM + 3.0) < 0.05, "and the loop is idle again");
 }
 
@@ -304,9 +306,9 @@
 fn a_second_in_which_nothing_comes_looks_at_each_machines_own_connections_only() {
     let mut world = World::new();
     world.play(LOSS - 2.0);
-    let before = world.door.looked();
+    let before = world.gateway.looked();
     world.play(LOSS - 1.0);
-    let [machines, lines] = world.door.looked();
+    let [machines, lines] = world.gateway.looked();
     assert_eq!(machines - before[0], 0, "nothing waits");
     // Ten ticks, up to 140 machines that hold a task, each with a line or two that are looked at a few times.
     assert!(world.standing.len() == 300 && lines - before[1] < 12_000, "{} looks", lines - before[1]);
--- a/fuzz/fuzz_targets/parsers.rs
+++ b/fuzz/fuzz_targets/parsers.rs
@@ -53,7 +53,7 @@
         }
         4 => platform(data),
         5 => {
-            let mut events = tidespur_platform::board::Events::default();
+            let mut events = tidespur_platform::discovery::Events::default();
             for line in data.split(|&byte| byte == b'\n') {
                 let Ok(event) = events.line(line) else { return };
                 assert!(event.is_none_or(|event| !event.is_empty()));
