--- /dev/null
+++ b/crates/platform/src/gateway/attempts.rs
@@ -0,0 +1,86 @@
+//! Requests and attempts over time: answers to owners, cancels, time-outs, ends.
+
+use super::*;
+
+impl Gateway {
+    /// Sends bytes to the owner of a request, by whatever way leads there.
+    pub(super) fn reply(&mut self, id: Id, bytes: Vec<u8>, out: &mut Vec<Output>) {
+        let Some(request) = self.table.get(id) else { return };
+        match self.downstreams.way(Some(request.client), request.from) {
+            Some(client) => {
+                self.downstreams.released(client);
+                out.push(Output::Downstream(client, bytes));
+            }
+            None => {
+                if self.owed.len() >= OWED_MOST {
+                    self.owed.pop_front();
+                }
+                self.owed.push_back((request.from, bytes));
+            }
+        }
+    }
+
+    /// What had no way to its owner goes out once there is one.
+    pub(super) fn pay(&mut self, out: &mut Vec<Output>) {
+        while let Some((from, _)) = self.owed.front() {
+            let Some(client) = self.downstreams.way(None, *from) else { return };
+            let Some((_, bytes)) = self.owed.pop_front() else { return };
+            self.downstreams.released(client);
+            out.push(Output::Downstream(client, bytes));
+        }
+    }
+
+    /// A request whose owner waits is over: nothing is owed, and what is out for it is given up at its machine.
+    pub(super) fn cancel_request(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
+        let Some(request) = self.table.remove(id) else { return };
+        let (task, Stage::Open { attempt, .. }) = (request.task, request.stage) else { return };
+        self.downstreams.count_open(now, request.client, false);
+        self.events.push(Event::Dropped(task));
+        if let Some(attempt) = attempt {
+            self.on_pool(out, |pool, acts| pool.cancel(now, attempt.line, id, false, acts));
+            self.events.push(event((task, attempt.number, Ending::Cancelled, true, None)));
+        }
+    }
+
+    /// The time of an attempt is over: it is given up.
+    pub(super) fn late(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
+        let Some(Stage::Open { attempt: Some(attempt), .. }) = self.table.get(id).map(|r| r.stage) else {
+            return;
+        };
+        self.counts.timed_out += 1;
+        self.on_pool(out, |pool, acts| pool.cancel(now, attempt.line, id, true, acts));
+        self.attempt_ended(id, Ending::Late, None);
+    }
+
+    /// The attempt that is out has ended without an answer that the task stands.
+    pub(super) fn attempt_ended(&mut self, id: Id, ending: Ending, report: Option<Report>) {
+        let Some(request) = self.table.get(id) else { return };
+        let Stage::Open { attempt: Some(attempt), may_have_run } = request.stage else { return };
+        let task = request.task;
+        let ran = !matches!(ending, Ending::Full(_) | Ending::NoConnection | Ending::Void);
+        self.pool.settled(attempt.line, id);
+        self.table.put(id, Stage::Open { attempt: None, may_have_run: may_have_run || ran });
+        self.events.push(event((task, attempt.number, ending, false, report)));
+    }
+
+    /// A standing task is ended from here: its machine is told.
+    pub(super) fn end_at_machine(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
+        let Some(Stage::Standing { machine, attempt, .. }) = self.table.get(id).map(|r| r.stage) else {
+            return;
+        };
+        let ended = Message::release(id, cause::ENDED).bytes();
+        self.on_pool(out, |pool, acts| pool.tell(now, machine, ended, acts));
+        self.end(now, id, attempt, Ending::Cancelled, None);
+    }
+
+    /// A standing task has ended.
+    pub(super) fn end(&mut self, now: Seconds, id: Id, attempt: u32, ending: Ending, report: Option<Report>) {
+        let Some(request) = self.table.remove(id) else { return };
+        if let Stage::Standing { machine, .. } = request.stage {
+            self.pool.hold(now, machine, false);
+        }
+        self.downstreams.count_standing(request.client, false);
+        self.counts.ended += 1;
+        self.events.push(event((request.task, attempt, ending, true, report)));
+    }
+}
