--- a/crates/platform-net/src/discovery.rs
+++ b/crates/platform-net/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Follows the notice board: connected always, and at once again after an end.
+//! Follows the discovery stream: connected always, and at once again after an end.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -11,18 +11,23 @@
 const HEAD_WITHIN: f64 = 1.0;
 /// Pause after a connection that brought nothing.
 const AGAIN: f64 = 0.1;
+/// After a move, what is left of the old stream is read for so long at most: the platform's page closes it after 1.5 s.
+/// Guards against streams that pile up where it moves back and forth.
+const OLD_FOR: f64 = 3.0;
 
 /// Where the board listens now.
 #[derive(Debug)]
 pub struct Address {
     at: RefCell<String>,
+    /// How often it moved, and when last.
     moves: Cell<u32>,
+    moved_at: Cell<f64>,
 }
 
 impl Address {
     /// At this address.
     pub fn new(at: String) -> Self {
-        Self { at: RefCell::new(at), moves: Cell::new(0) }
+        Self { at: RefCell::new(at), moves: Cell::new(0), moved_at: Cell::new(0.0) }
     }
 
     /// It listens elsewhere from now on; `false` where it was there already.
@@ -32,17 +37,22 @@
         }
         self.at.replace(at.to_owned());
         self.moves.set(self.moves.get() + 1);
+        self.moved_at.set(clock::now());
         true
     }
 }
 
-/// Follows the board where it listens now. Once it has moved, what is left of the old stream is still read.
+/// Follows the stream where it is now. Once it has moved, what is left of the old stream is still read.
 pub async fn follow(current: Rc<Address>, delivered: impl Fn() -> u64, mut take: impl FnMut(&str)) {
     let (address, moves) = (current.at.borrow().clone(), current.moves.get());
     loop {
         let began = clock::now();
-        let why = once(&address, delivered(), &mut take).await;
-        tracing::info!(board = address, why, "the notice board ended");
+        let left = || match current.moves.get() == moves {
+            true => f64::INFINITY,
+            false => current.moved_at.get() + OLD_FOR - clock::now(),
+        };
+        let why = once(&address, delivered(), left, &mut take).await;
+        tracing::info!(board = address, why, "the discovery stream ended");
         if current.moves.get() != moves {
             return;
         }
@@ -52,7 +62,7 @@
     }
 }
 
-async fn once(address: &str, delivered: u64, take: &mut impl FnMut(&str)) -> String {
+async fn once(address: &str, delivered: u64, left: impl Fn() -> f64, take: &mut impl FnMut(&str)) -> String {
     let client = Client::new(address, 1, vec![("last-event-id", delivered.to_string())]);
     let mut lines = match client.lines("/board/poll", HEAD_WITHIN).await {
         Ok(lines) if lines.status.is_success() => lines,
@@ -61,7 +71,11 @@
     };
     let mut events = Events::default();
     loop {
-        let line = match lines.next_within(SILENCE).await {
+        let left = left();
+        if left <= 0.0 {
+            return "it has moved".into();
+        }
+        let line = match lines.next_within(SILENCE.min(left)).await {
             Ok(line) => line,
             Err(why) => return why,
         };
--- /dev/null
+++ b/crates/platform-net/src/run/control.rs
@@ -0,0 +1,97 @@
+//! The discovery stream, signals, and the clock of the loop.
+
+use super::*;
+use futures_lite::StreamExt;
+
+/// How far the loop is behind is measured this often.
+const MARK: f64 = 0.05;
+/// A configuration that can't be read is read again after this, so many times.
+const REREAD: f64 = 0.1;
+const REREADS: u32 = 50;
+/// At the end, it is looked this often whether all has left.
+const FLUSHED: f64 = 0.005;
+
+impl Run {
+    /// Measures how far the loop is behind: a timer comes to its turn as late as a message that came when it was
+    /// due, as both wait for the reactor and for all that was woken before them.
+    pub(super) async fn mark(self: Rc<Self>) {
+        loop {
+            let due = clock::now() + MARK;
+            clock::sleep(MARK).await;
+            self.put(Input::Lag(clock::now() - due));
+        }
+    }
+
+    /// Follows the discovery stream where it is now.
+    pub(super) fn follow(self: &Rc<Self>) {
+        let (this, that) = (self.clone(), self.clone());
+        let delivered = move || this.gateway.borrow().delivered();
+        let take = move |data: &str| {
+            let event = tidespur_platform::discovery::event(that.gateway.borrow().site(), data);
+            match event {
+                Ok(event) => that.step(vec![Input::Delivered(event)]),
+                Err(problem) => tracing::warn!(scheduler = that.name, problem),
+            }
+        };
+        self.spawn(discovery::follow(self.board.clone(), delivered, take));
+    }
+
+    pub(super) async fn signals(self: Rc<Self>, mut signals: Signals) {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Term) => {
+                    tracing::info!(scheduler = self.name, "told to end");
+                    self.step(vec![Input::Leave]);
+                }
+                Ok(Signal::Hup) => {
+                    tracing::info!(scheduler = self.name, "told to read its configuration again");
+                    self.spawn(self.clone().reload());
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Reads the configuration again; until it can be read, what was read before holds.
+    async fn reload(self: Rc<Self>) {
+        for _ in 0..REREADS {
+            let read = config::path()
+                .and_then(|path| {
+                    std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))
+                })
+                .and_then(|text| config::read(&text));
+            match read {
+                Ok(config) => {
+                    if self.board.moves_to(&config.board) {
+                        tracing::info!(
+                            scheduler = self.name,
+                            board = config.board,
+                            "another discovery stream"
+                        );
+                        self.follow();
+                    }
+                    return;
+                }
+                Err(problem) => tracing::warn!(scheduler = self.name, problem, "the old settings hold"),
+            }
+            clock::sleep(REREAD).await;
+        }
+    }
+
+    /// Waits until what was written has left, within so many seconds.
+    pub(super) async fn flush(self: &Rc<Self>, within: f64) {
+        let left: Vec<DownstreamId> = self.downstreams.borrow().keys().copied().collect();
+        left.into_iter().for_each(|client| self.close_client(client));
+        let until = clock::now() + within;
+        while clock::now() < until && !(self.closing.borrow().is_empty() && self.upstreams_flushed()) {
+            clock::sleep(FLUSHED).await;
+        }
+    }
+
+    pub(super) fn report(&self) {
+        let gateway = self.gateway.borrow();
+        let [requests, waiting, downstreams, upstreams, machines] = gateway.sizes();
+        let counts = gateway.counts();
+        tracing::info!(scheduler = self.name, requests, waiting, downstreams, upstreams, machines, ?counts);
+    }
+}
--- a/crates/platform-net/src/socket.rs
+++ b/crates/platform-net/src/socket.rs
@@ -10,16 +10,23 @@
 const UNREAD_MOST: usize = 256 * 1024;
 /// Bytes read in one turn; then others have theirs.
 pub const TURN: usize = 16 * 1024;
+/// Of a connection that was closed here, so many bytes are still read: a socket closed over unread bytes resets its
+/// connection, and the reset may destroy an answer on its way. Bounds the work for one that never stops.
+const DISCARDED_MOST: usize = 256 * 1024;
 
 /// How a write went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wrote {
     /// Gone, or waiting to go.
     Taken,
+    /// The peer takes no bytes now, and not one of these left.
+    Full,
+    /// The peer takes no more bytes now, and has a part of these; the rest waits to go.
+    Part,
     /// Not a byte of it left, and none will.
     Nothing,
     /// Some may have left; the connection is of no further use.
-    Part,
+    Broken,
 }
 
 /// A connection, held by its reader and by whoever writes.
@@ -27,57 +34,100 @@
 pub struct Socket {
     stream: Async<TcpStream>,
     waiting: RefCell<Vec<u8>>,
-    /// It is finished once nothing waits: else a release that waits behind a set-up would never leave.
-    half_closed: Cell<bool>,
+    /// Somebody sees to what waits.
+    draining: Cell<bool>,
+    /// It is half-closed once nothing waits: else a release that waits behind a set-up would never leave.
+    half_closing: Cell<bool>,
 }
 
 impl Socket {
     /// Over an open connection.
-    pub fn new(stream: Async<TcpStream>) -> Rc<Self> {
+    pub fn new(stream: Async<TcpStream>) -> Self {
         // Without it answers wait for acknowledgements; a socket that refuses it still works.
         let _ = stream.get_ref().set_nodelay(true);
-        Rc::new(Self { stream, waiting: RefCell::default(), half_closed: Cell::new(false) })
+        Self {
+            stream,
+            waiting: RefCell::default(),
+            draining: Cell::new(false),
+            half_closing: Cell::new(false),
+        }
     }
 
-    /// Writes what the peer takes at once; the rest waits for [`Socket::drain`], and then `true` comes along.
+    /// Writes what the peer takes at once; the rest waits. `true` comes along where somebody has to [`Socket::drain`].
     pub fn write(&self, bytes: &[u8]) -> (Wrote, bool) {
-        let mut waiting = self.waiting.borrow_mut();
-        if !waiting.is_empty() {
-            if waiting.len() + bytes.len() > UNREAD_MOST {
-                return (Wrote::Nothing, false);
+        {
+            let mut waiting = self.waiting.borrow_mut();
+            if !waiting.is_empty() {
+                if waiting.len() + bytes.len() > UNREAD_MOST {
+                    return (Wrote::Nothing, false);
+                }
+                waiting.extend_from_slice(bytes);
+                return (Wrote::Taken, false);
+            }
+        }
+        match self.write_now(bytes) {
+            (Wrote::Full, _) => {
+                self.waiting.borrow_mut().extend_from_slice(bytes);
+                (Wrote::Taken, !self.draining.replace(true))
             }
-            waiting.extend_from_slice(bytes);
-            return (Wrote::Taken, false);
+            (Wrote::Part, drain) => (Wrote::Taken, drain),
+            other => other,
+        }
+    }
+
+    /// Writes only if the peer takes at least a part at once; `true` as with [`Socket::write`].
+    pub fn offer(&self, bytes: &[u8]) -> (Wrote, bool) {
+        if !self.waiting.borrow().is_empty() {
+            return (Wrote::Full, false);
+        }
+        match self.write_now(bytes) {
+            (Wrote::Full, _) => (Wrote::Full, !self.draining.replace(true)),
+            other => other,
         }
+    }
+
+    fn write_now(&self, bytes: &[u8]) -> (Wrote, bool) {
         let mut done = 0;
         while done < bytes.len() {
             match self.stream.get_ref().write(&bytes[done..]) {
                 Ok(0) => break,
                 Ok(n) => done += n,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock && done == 0 => return (Wrote::Full, false),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    waiting.extend_from_slice(&bytes[done..]);
-                    return (Wrote::Taken, true);
+                    self.waiting.borrow_mut().extend_from_slice(&bytes[done..]);
+                    return (Wrote::Part, !self.draining.replace(true));
                 }
-                Err(_) => return (if done == 0 { Wrote::Nothing } else { Wrote::Part }, false),
+                Err(_) => return (if done == 0 { Wrote::Nothing } else { Wrote::Broken }, false),
             }
         }
         (Wrote::Taken, false)
     }
 
-    /// Writes what waits until nothing does, or the connection ends.
+    /// Writes what waits until nothing does and the peer takes more, or the connection ends.
+    ///
+    /// # Errors
+    /// The connection has ended.
     pub async fn drain(&self) -> io::Result<()> {
+        let drained = self.drain_all().await;
+        self.draining.set(false);
+        drained
+    }
+
+    async fn drain_all(&self) -> io::Result<()> {
         loop {
             self.stream.writable().await?;
             let mut waiting = self.waiting.borrow_mut();
-            match self.stream.get_ref().write(&waiting) {
-                Ok(n) => drop(waiting.drain(..n)),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
+            if !waiting.is_empty() {
+                match self.stream.get_ref().write(&waiting) {
+                    Ok(n) => drop(waiting.drain(..n)),
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(e) => return Err(e),
+                }
             }
             if waiting.is_empty() {
                 *waiting = Vec::new();
-                if self.half_closed.get() {
+                if self.half_closing.get() {
                     self.shut();
                 }
                 return Ok(());
@@ -85,21 +135,63 @@
         }
     }
 
+    /// Whether all that was written has left.
+    pub fn is_flushed(&self) -> bool {
+        self.waiting.borrow().is_empty()
+    }
+
+    /// Waits until there may be something to read.
+    ///
+    /// # Errors
+    /// The system's.
+    pub async fn readable(&self) -> io::Result<()> {
+        self.stream.readable().await
+    }
+
+    /// Reads what is there into `buffer`; 0 at the end, `None` where there is nothing now.
+    ///
+    /// # Errors
+    /// The connection has ended.
+    pub fn read_now(&self, buffer: &RefCell<Vec<u8>>) -> io::Result<Option<usize>> {
+        loop {
+            match self.stream.get_ref().read(&mut buffer.borrow_mut()) {
+                Ok(n) => return Ok(Some(n)),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     /// Waits until there is something to read, and reads it into `buffer`; 0 at the end.
+    ///
+    /// # Errors
+    /// The connection has ended.
     pub async fn read(&self, buffer: &RefCell<Vec<u8>>) -> io::Result<usize> {
         loop {
-            self.stream.readable().await?;
-            match self.stream.get_ref().read(&mut buffer.borrow_mut()) {
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
-                other => return other,
+            self.readable().await?;
+            if let Some(n) = self.read_now(buffer)? {
+                return Ok(n);
             }
         }
     }
 
+    /// Reads to the end and forgets it.
+    pub async fn discard(&self, buffer: &RefCell<Vec<u8>>) {
+        let mut left = DISCARDED_MOST;
+        while let Ok(n) = self.read(buffer).await
+            && n > 0
+            && n <= left
+        {
+            left -= n;
+            futures_lite::future::yield_now().await;
+        }
+    }
+
     /// Writes what waits and then no more, and is still read.
-    pub fn finish(&self) {
-        self.half_closed.set(true);
-        if self.waiting.borrow().is_empty() {
+    pub fn half_close(&self) {
+        self.half_closing.set(true);
+        if self.is_flushed() {
             self.shut();
         }
     }
@@ -108,37 +200,41 @@
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
     }
 
-    /// Ends the connection in both directions, for its reader too.
+    /// Ends the connection in both directions, for its reader too. What was read by the system is still there to read.
     pub fn close(&self) {
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Both);
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_waits_for_a_slow_peer_still_leaves_after_the_connection_is_finished() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let stream = TcpStream::connect(listener.local_addr().expect("its address")).expect("a connection");
-        let (mut peer, _) = listener.accept().expect("the other end");
-        let socket = Socket::new(Async::new(stream).expect("a socket"));
-        // More than the system takes for a peer that does not read.
-        let (mut sent, mut waits) = (0, false);
-        while !waits {
-            let (wrote, rest) = socket.write(&[7; 64 * 1024]);
-            assert_eq!(wrote, Wrote::Taken);
-            (sent, waits) = (sent + 64 * 1024, rest);
-        }
-        assert_eq!(socket.write(b"given up").0, Wrote::Taken);
-        socket.finish();
-        let reader = std::thread::spawn(move || {
-            let mut read = Vec::new();
-            peer.read_to_end(&mut read).map(|_| read)
-        });
-        smol::block_on(socket.drain()).expect("all of it leaves");
-        let read = reader.join().expect("the reader ends").expect("and sees a plain end");
-        assert_eq!((read.len(), &read[sent..]), (sent + 8, &b"given up"[..]));
+/// A client's connection.
+#[derive(Debug)]
+pub struct Connection {
+    /// Its bytes.
+    pub socket: Rc<Socket>,
+    /// What was read of its next message.
+    pub decoder: RefCell<tidespur_platform::message::Decoder>,
+    /// Since when a message is begun and not whole.
+    pub half_since: Cell<Option<f64>>,
+    /// When it was accepted, and whether it has said anything whole since.
+    pub opened_at: f64,
+    pub whole: Cell<bool>,
+    /// Its end, or what can't be read, was seen: nothing more is read.
+    pub ended: Cell<bool>,
+    /// The last of what it said.
+    pub said: Cell<tidespur_platform::input_queue::Sequence>,
+}
+
+impl Connection {
+    /// Over an open connection.
+    pub fn new(stream: Async<TcpStream>) -> Rc<Self> {
+        Rc::new(Self {
+            socket: Rc::new(Socket::new(stream)),
+            decoder: RefCell::default(),
+            half_since: Cell::new(None),
+            opened_at: tidespur_net::clock::now(),
+            whole: Cell::new(false),
+            ended: Cell::new(false),
+            said: Cell::default(),
+        })
     }
 }
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -88,6 +88,11 @@
     Ok(Ask { task, at })
 }
 
+/// Whether a set-up names the machine that holds its task already.
+pub fn is_handed(message: &Message) -> bool {
+    message.text(code::ASKS).is_some_and(|asks| fields(asks).contains_key("at"))
+}
+
 /// The load that came along, if any of it can be read.
 pub fn report(message: &Message) -> Option<Report> {
     let values = fields(message.text(code::LOAD)?);
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -2,24 +2,30 @@
 
 mod actions;
 mod attempts;
+mod clients;
 mod io;
 mod machines;
 mod requests;
 mod shutdown;
 
-pub use io::{Input, Limits, Output};
+pub use io::{Input, Limits, Output, Seen};
+
+use clients::{Claim, Due};
+use shutdown::Leaving;
 
 use crate::counts::Counts;
 use crate::discovery::Delivery;
 use crate::downstream::Downstreams;
 use crate::message::{Id, Kind, Message, cause, code};
-use crate::pool::{End, News, Pool, PoolAction};
+use crate::pool::{End, News, Pool, PoolAction, Times};
 use crate::table::{Attempt, Request, RequestTable, Stage, micros};
 use crate::{DownstreamId, UpstreamId, ask, discovery};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
 use tidespur_policy::Scheduler;
-use tidespur_policy::interface::{Action, Ending, Event, MachineId, Report, Seconds, Standing, TaskId, Why};
+use tidespur_policy::interface::{
+    Action, Effect, Ending, Event, MachineId, Report, Seconds, Standing, TaskId, Why,
+};
 use tidespur_pressure::Pressure;
 use tidespur_settings::Site;
 
@@ -31,11 +37,6 @@
 const OWED_MOST: usize = 4_096;
 /// Time goes on at least this often.
 const TICK: Seconds = 0.1;
-/// After the word to end, requests go on coming for so long.
-const LEAVE_AFTER: Seconds = 0.7;
-/// After the word to end, what is still open is answered, and then the program ends; until then it passes on the
-/// ends of what stands. The platform kills no sooner than 3.7 s after the word.
-const LEAVE_LATEST: Seconds = 3.1;
 
 /// The gateway of one scheduler.
 pub struct Gateway {
@@ -50,7 +51,11 @@
     events: Vec<Event>,
     timers: BTreeSet<(u64, u64)>,
     owed: VecDeque<(Option<IpAddr>, Vec<u8>)>,
-    leaving: Option<Seconds>,
+    /// Set-ups that leave once their clients are known to be there still, and who is looked at for it.
+    due: Due,
+    /// Set-ups under the numbers of others' requests, until the others' connections have been looked at.
+    claims: Vec<Claim>,
+    leaving: Option<Leaving>,
     ticked: Seconds,
     pressure: Pressure,
     counts: Counts,
@@ -64,16 +69,19 @@
     pub fn new(site: Site, limits: Limits, seed: u64) -> Result<Self, String> {
         let policy = Scheduler::new(site.settings.clone(), seed).map_err(|e| e.to_string())?;
         let pressure = Pressure::of(site.settings.classes.iter().map(|class| (class.aim, class.worth)));
+        let times = Times { connect_within: site.connect_timeout, idle: site.connection_idle };
         Ok(Self {
             policy,
             table: RequestTable::default(),
-            pool: Pool::new(limits.lines, site.connect_timeout),
-            downstreams: Downstreams::new(limits.clients),
+            pool: Pool::new(limits.upstreams, times),
+            downstreams: Downstreams::new(limits.downstreams),
             known: BTreeMap::new(),
             delivered: 0,
             events: Vec::new(),
             timers: BTreeSet::new(),
             owed: VecDeque::new(),
+            due: Due::default(),
+            claims: Vec::new(),
             leaving: None,
             ticked: 0.0,
             pressure,
@@ -112,7 +120,7 @@
     pub fn next_wake(&self) -> Seconds {
         let timer = self.timers.first().map_or(f64::INFINITY, |&(at, _)| at as f64 / 1e6);
         let late = self.table.next_late().map_or(f64::INFINITY, |at| at as f64 / 1e6);
-        timer.min(late).min(self.ticked + TICK)
+        timer.min(late).min(self.ticked + TICK).min(self.due.again_at)
     }
 
     /// Takes in what came at `now`, and tells what is to be done.
@@ -134,11 +142,8 @@
     fn take(&mut self, now: Seconds, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::DownstreamOpened(client, from) => {
-                if let Some(victim) = self.downstreams.opened(now, client, from) {
-                    self.forget_client(now, victim, out);
-                    self.counts.closed += 1;
-                    out.push(Output::CloseDownstream(victim));
-                }
+                self.downstreams.opened(now, client, from);
+                self.close_surplus(now, out);
             }
             Input::DownstreamSaid(client, message) if self.downstreams.has(client) => {
                 self.client_said(now, client, message, out);
@@ -152,6 +157,8 @@
                 self.downstreams.closed(client);
                 self.forget_client(now, client, out);
             }
+            Input::DownstreamGone(client) => self.client_gone(now, client, out),
+            Input::Looked(client, seen) => self.looked_at(now, client, seen, out),
             Input::UpstreamOpened(line) => self.on_pool(out, |pool, acts| pool.opened(now, line, acts)),
             Input::UpstreamRefused(line) => self.line_ended(now, line, End::Refused, out),
             Input::UpstreamEnded(line) | Input::UpstreamFailed(line) => {
@@ -160,10 +167,14 @@
             Input::UpstreamUnwritten(line, offer) => {
                 self.line_ended(now, line, End::Unwritten(offer), out);
             }
+            Input::UpstreamFull(line, offer, bytes) => self.pool.full(line, offer, bytes),
+            Input::UpstreamPart(line, offer) => self.pool.part(line, offer),
+            Input::UpstreamDrained(line) => self.on_pool(out, |pool, acts| pool.drained(line, acts)),
             Input::UpstreamMalformed(line) => self.malformed(now, line, out),
             Input::UpstreamSaid(line, message) => self.line_said(now, line, &message, out),
             Input::Delivered(event) => self.delivered_event(now, event, out),
-            Input::Leave => self.leaving = self.leaving.or(Some(now)),
+            Input::Leave => self.leave(now),
+            Input::Unlistened => self.unlistened(out),
             Input::Lag(late) => {
                 self.counts.lag_most = self.counts.lag_most.max((late * 1e3) as u64);
                 self.pressure.mark(now, late);
@@ -179,8 +190,9 @@
             self.events.push(Event::Timer(token));
         }
         for id in self.table.late(now) {
-            self.late(now, id, out);
+            self.timed_out(now, id, out);
         }
+        self.look_again(now, out);
         if now - self.ticked < TICK {
             return;
         }
@@ -189,14 +201,13 @@
         self.on_pool(out, |pool, acts| pool.tick(now, acts, &mut news));
         self.hear(now, news, out);
         for client in self.downstreams.silent(now) {
-            self.counts.closed += 1;
-            out.push(Output::CloseDownstream(client));
+            out.push(Output::Look(client));
         }
         // Machines come and go without end: what is kept of one goes with its last connection.
         let pool = &self.pool;
         self.known.retain(|machine, _| pool.knows(*machine));
         self.pay(out);
-        self.leave(now, out);
+        self.leave_on(now, out);
     }
 }
 
--- a/crates/platform/src/gateway/attempts.rs
+++ b/crates/platform/src/gateway/attempts.rs
@@ -30,7 +30,7 @@
         }
     }
 
-    /// A request whose owner waits is over: nothing is owed, and what is out for it is given up at its machine.
+    /// A request whose owner waits is over: nothing is owed, and what is out for it is cancelled at its machine.
     pub(super) fn cancel_request(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
         let Some(request) = self.table.remove(id) else { return };
         let (task, Stage::Open { attempt, .. }) = (request.task, request.stage) else { return };
@@ -42,14 +42,15 @@
         }
     }
 
-    /// The time of an attempt is over: it is given up.
-    pub(super) fn late(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
+    /// The time of an attempt is over: it is cancelled.
+    pub(super) fn timed_out(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
         let Some(Stage::Open { attempt: Some(attempt), .. }) = self.table.get(id).map(|r| r.stage) else {
             return;
         };
         self.counts.timed_out += 1;
-        self.on_pool(out, |pool, acts| pool.cancel(now, attempt.line, id, true, acts));
-        self.attempt_ended(id, Ending::Late, None);
+        let never_left = self.on_pool(out, |pool, acts| pool.cancel(now, attempt.line, id, true, acts));
+        // It waited for its own client or for a machine that takes no bytes: it has not run.
+        self.attempt_ended(id, if never_left { Ending::Void } else { Ending::Late }, None);
     }
 
     /// The attempt that is out has ended without an answer that the task stands.
@@ -59,6 +60,9 @@
         let task = request.task;
         let ran = !matches!(ending, Ending::Full(_) | Ending::NoConnection | Ending::Void);
         self.pool.settled(attempt.line, id);
+        if !(may_have_run || ran) {
+            self.table.has_not_run(id);
+        }
         self.table.put(id, Stage::Open { attempt: None, may_have_run: may_have_run || ran });
         self.events.push(event((task, attempt.number, ending, false, report)));
     }
--- a/crates/platform/src/gateway/io.rs
+++ b/crates/platform/src/gateway/io.rs
@@ -11,22 +11,41 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Connections of clients at once.
-    pub clients: usize,
+    pub downstreams: usize,
     /// Connections to machines at once.
-    pub lines: usize,
+    pub upstreams: usize,
+    /// Connections of clients that are closed here and not by their peer yet.
+    pub closing: usize,
 }
 
 impl Limits {
-    /// Shares out a limit on descriptors: some for the program itself and the notice board; a third for owners, who
-    /// hold no more by the platform's rule, and an eighth for others who come in; the rest for machines, so that as
-    /// many as can be have a connection of their own.
+    /// Shares out a limit on descriptors: some for the program itself, the discovery stream and connections that
+    /// close; a third for owners, who hold no more by the platform's rule, and an eighth for others who come in; the
+    /// rest for machines, so that as many as can be have a connection of their own.
     pub fn of(sockets: usize) -> Self {
         let own = 24.min(sockets / 4);
-        let clients = sockets / 3 + sockets / 8;
-        Self { lines: (sockets - own).saturating_sub(clients).max(2), clients: clients.max(1) }
+        let downstreams = sockets / 3 + sockets / 8;
+        Self {
+            upstreams: (sockets - own).saturating_sub(downstreams).max(2),
+            downstreams: downstreams.max(1),
+            closing: own / 4,
+        }
     }
 }
 
+/// What a look at a client's connection found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// Nothing is unread, and all that was read has been taken in.
+    All,
+    /// The same, but for a message that is begun and not whole.
+    Half,
+    /// Nothing is unread; some of it waits to be taken in.
+    Read,
+    /// It says more than was read at once.
+    Part,
+}
+
 /// What came.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -36,8 +55,13 @@
     DownstreamSaid(DownstreamId, Message),
     /// It sent what can't be read.
     DownstreamMalformed(DownstreamId),
-    /// Its connection ended.
+    /// It has closed, half-closed or reset its connection, or takes no more bytes. What it said before may still
+    /// come, and then [`Input::DownstreamClosed`].
+    DownstreamGone(DownstreamId),
+    /// Its connection ended, and all that it said has come.
     DownstreamClosed(DownstreamId),
+    /// Answers [`Output::Look`], after what ends its requests.
+    Looked(DownstreamId, Seen),
     /// A connection to a machine is made.
     UpstreamOpened(UpstreamId),
     /// Nobody listens there.
@@ -52,27 +76,39 @@
     UpstreamEnded(UpstreamId),
     /// The same, and no byte left of what was to be written last: this set-up, or something else.
     UpstreamUnwritten(UpstreamId, Option<Id>),
-    /// The notice board told something.
+    /// The machine takes no bytes now, and none of this set-up left: here it is back.
+    UpstreamFull(UpstreamId, Id, Vec<u8>),
+    /// The machine takes no bytes now, and only a part of this set-up left.
+    UpstreamPart(UpstreamId, Id),
+    /// All that waited for the machine has left.
+    UpstreamDrained(UpstreamId),
+    /// The discovery stream delivered an event.
     Delivered(Delivery),
     /// The program is to end.
     Leave,
-    /// Something that was due so many seconds ago is taken in only now: the loop is behind.
+    /// Answers [`Output::StopListening`], after all that had connected.
+    Unlistened,
+    /// Something that was due so many seconds ago is taken in only now: the loop lags.
     Lag(Seconds),
     /// Time goes on.
     Tick,
 }
 
 /// What is to be done, in this order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Write to a client.
     Downstream(DownstreamId, Vec<u8>),
-    /// Close a client's connection, after what was written.
+    /// Write what waits for a client, then no more; read until it closes too, for a bounded time.
     CloseDownstream(DownstreamId),
+    /// Read what a client has said by now; [`Input::Looked`] answers.
+    Look(DownstreamId),
     /// Something about a connection to a machine.
     Upstream(PoolAction),
     /// A line of the log.
     Log(String),
-    /// Nothing is owed any more: end.
-    End,
+    /// Accept who has connected, and then no more; [`Input::Unlistened`] answers.
+    StopListening,
+    /// Nothing is owed any more: end once what was written has left, within so many seconds.
+    End(Seconds),
 }
--- a/crates/platform/src/gateway/machines.rs
+++ b/crates/platform/src/gateway/machines.rs
@@ -11,7 +11,12 @@
     ) -> T {
         let mut acts = Vec::new();
         let done = act(&mut self.pool, &mut acts);
-        out.extend(acts.into_iter().map(Output::Upstream));
+        for act in acts {
+            match act {
+                PoolAction::Due(upstream, id) => self.due(upstream, id, out),
+                act => out.push(Output::Upstream(act)),
+            }
+        }
         done
     }
 
@@ -82,7 +87,7 @@
             }
             (Kind::Release, None) => {
                 self.counts.strays += 1;
-                self.table.ended_elsewhere(now, id);
+                self.table.ended_elsewhere(now, id, message.cause().unwrap_or(cause::FAILED));
                 out.push(Output::Upstream(PoolAction::Write(line, Message::new(Kind::Heard, id).bytes())));
             }
             (Kind::Note, Some((task, _, Stage::Standing { machine, .. }))) if machine == from => {
@@ -117,9 +122,13 @@
                     self.counts.broken += 1;
                     self.attempt_ended(id, Ending::Broken(Why::Unknown), None);
                 }
+                News::Withdrawn(id) => {
+                    self.counts.unsent += 1;
+                    self.attempt_ended(id, Ending::Void, None);
+                }
                 News::Failed(machine) => {
                     let name = self.known.get(&machine).map_or("", |(name, _)| name.as_str());
-                    out.push(Output::Log(format!("machine {name} is lost")));
+                    out.push(Output::Log(format!("machine {name} has failed")));
                     self.machine_failed(now, machine, now, out);
                 }
             }
@@ -154,12 +163,16 @@
         }
         self.delivered = notice.number;
         let mut news = Vec::new();
-        let mut entries = Vec::new();
+        let (mut entries, mut leaving) = (Vec::new(), Vec::new());
         if notice.whole {
-            self.pool.only(&notice.listed.iter().map(|listed| listed.entry.machine).collect());
+            let listed = notice.listed.iter().map(|listed| listed.entry.machine).collect();
+            leaving.extend(self.pool.only(&listed));
         }
         for listed in notice.listed {
             let (machine, gone) = (listed.entry.machine, listed.entry.standing == Standing::Gone);
+            if listed.entry.standing != Standing::Ready {
+                leaving.push(machine);
+            }
             self.pool.listed(now, machine, &listed.address, gone);
             let before = self.known.insert(machine, (listed.name, listed.entry.up_since));
             if let (Some((_, before)), Some(up)) = (before, listed.entry.up_since)
@@ -171,6 +184,9 @@
             entries.push(listed.entry);
         }
         self.pool.taken_over(&mut news);
+        for machine in leaving {
+            self.on_pool(out, |pool, acts| pool.withdraw(now, machine, acts, &mut news));
+        }
         self.hear(now, news, out);
         self.events.push(if notice.whole { Event::ListWhole(entries) } else { Event::ListChanges(entries) });
     }
--- a/crates/platform/src/gateway/requests.rs
+++ b/crates/platform/src/gateway/requests.rs
@@ -43,6 +43,7 @@
         }
     }
 
+    /// A set-up came: it is taken, handed over, turned away, or looked into.
     pub(super) fn set_up(
         &mut self,
         now: Seconds,
@@ -57,25 +58,18 @@
             self.close_client(now, client, out);
             return;
         }
-        let read = ask::read(&self.site, now, &message);
-        if let Some(known) = self.table.get(id) {
-            let handed = read.as_ref().is_ok_and(|ask| ask.at.is_some());
-            if handed && matches!(known.stage, Stage::Standing { .. }) {
-                // Whoever names what is held already is believed to be its owner only where the one who is known
-                // has gone: else anybody with an id could draw its end to himself.
-                if !self.downstreams.has(known.client) {
-                    self.downstreams.proves(now, client);
-                    self.downstreams.count_standing(client, true);
-                    self.table.reached_by(id, client, self.downstreams.from(client));
-                }
-            } else {
+        if let Some(known) = self.table.get(id).map(|request| request.client) {
+            let own = known == client;
+            if !own {
+                self.claim(Claim { known, client, message }, out);
+            } else if !ask::is_handed(&message) {
                 // Two requests of one number: neither answer could be told from the other.
                 self.counts.useless += 1;
                 self.close_client(now, client, out);
             }
             return;
         }
-        let mut ask = match read {
+        let mut ask = match ask::read(&self.site, now, &message) {
             Ok(ask) => ask,
             Err(problem) => return self.turn_away(now, client, id, &problem, out),
         };
@@ -86,14 +80,29 @@
         let (class, name) = (bytes(code::CLASS), bytes(code::NAME));
         let description = bytes(code::DESCRIPTION);
         let stage = Stage::Open { attempt: None, may_have_run: false };
-        let mut request = Request { task, client, from, stage, class, name, description, sends: 0 };
+        let class_index = ask.task.class;
+        let mut request = Request {
+            task,
+            client,
+            from,
+            stage,
+            class_index,
+            class,
+            name,
+            description,
+            sends: 0,
+            began: None,
+        };
         if let Some(at) = &ask.at {
             let machine = discovery::machine_id(at);
-            if self.table.has_ended(id) || !self.known.contains_key(&machine) {
-                let over = Message::release(id, cause::FAILED).bytes();
-                out.push(Output::Downstream(client, over));
+            // The list may tell of the machine only later; until it counts as failed, it is waited for.
+            let ended = self.table.has_ended(id);
+            if ended.is_some() || !self.pool.expect(now, machine) {
+                let cause = ended.filter(|&cause| cause != cause::ENDED).unwrap_or(cause::FAILED);
+                out.push(Output::Downstream(client, Message::release(id, cause).bytes()));
                 return;
             }
+            self.known.entry(machine).or_insert_with(|| (at.clone(), None));
             self.counts.in_place += 1;
             self.downstreams.proves(now, client);
             request.stage = Stage::Standing { machine, attempt: 0, since: now };
@@ -104,9 +113,18 @@
             self.events.push(Event::InPlace(ask.task, machine));
             return;
         }
+        if !self.downstreams.is_there(client) {
+            // Nobody waits for the answer.
+            self.counts.cancelled += 1;
+            return;
+        }
         let shed = !self.pressure.admits(ask.task.class);
         self.counts.shed += u64::from(shed);
-        if shed || self.downstreams.open(client) >= OPEN_MOST || self.table.waiting() >= OPEN_MOST_ALL {
+        if shed
+            || self.ends()
+            || self.downstreams.open(client) >= OPEN_MOST
+            || self.table.waiting() >= OPEN_MOST_ALL
+        {
             // It never reached the policy: asking again does no harm.
             self.counts.refused += 1;
             self.downstreams.proves(now, client);
@@ -138,21 +156,4 @@
             self.close_client(now, client, out);
         }
     }
-
-    // Downstreams.
-
-    pub(super) fn close_client(&mut self, now: Seconds, client: DownstreamId, out: &mut Vec<Output>) {
-        self.downstreams.closed(client);
-        self.forget_client(now, client, out);
-        self.counts.closed += 1;
-        out.push(Output::CloseDownstream(client));
-    }
-
-    /// A connection is no more: what was open on it is given up, what stands is reached by another way.
-    pub(super) fn forget_client(&mut self, now: Seconds, client: DownstreamId, out: &mut Vec<Output>) {
-        for id in self.table.of_client(client) {
-            self.counts.cancelled += 1;
-            self.cancel_request(now, id, out);
-        }
-    }
 }
--- a/crates/platform/src/input_queue.rs
+++ b/crates/platform/src/input_queue.rs
@@ -2,46 +2,93 @@
 //!
 //! Taken in one by one, each message would cost a look of the policy of its own, and a flood of new set-ups would
 //! stand before the ends and answers that are owed. So all that came since the last step goes into the next one.
+//!
+//! What says that a request is not wanted any more (its client has gone, or cancels it) goes with what is owed: it
+//! must not wait behind other requests while an attempt begins. A cancel never overtakes its own set-up: while that
+//! one waits the cancel waits with it, and both are handed out side by side.
 
-use crate::Input;
-use std::collections::VecDeque;
+use crate::message::{Id, Kind, Message};
+use crate::{DownstreamId, Input};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Inputs of clients that one step takes in; the rest waits for the next. Bounds how long what is owed waits.
+/// Requests that one step takes in; the rest waits for the next. Bounds how long what is owed waits.
 const REQUESTS_AT_ONCE: usize = 64;
+/// Of one connection so many of them before the next has its turn.
+const IN_A_ROW: usize = 8;
 
-/// The place of a client's input in the order in which they came.
+/// The place of an input in the order in which they came.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Sequence(u64);
 
+/// What one connection asks for, in its own order.
+#[derive(Debug, Default)]
+struct Waiting {
+    inputs: VecDeque<Input>,
+    set_ups: BTreeSet<Id>,
+    /// Cancels of set-ups that wait here.
+    cancels: BTreeMap<Id, Message>,
+}
+
 /// Inputs that wait.
 #[derive(Debug, Default)]
 pub struct InputQueue {
-    /// Words of machines and of the notice board: ends, answers, proofs.
+    /// Words of machines and of the discovery stream, and what ends requests.
     completions: Vec<Input>,
-    /// Words of clients, in the order in which they came.
-    requests: VecDeque<Input>,
-    put: u64,
+    requests: BTreeMap<DownstreamId, Waiting>,
+    /// Connections in the order of their turns; each with something that waits stands here once.
+    turns: VecDeque<DownstreamId>,
+    rounds: u64,
 }
 
 impl InputQueue {
-    /// Puts in what came. The sequence tells when it was taken, by [`InputQueue::taken`].
+    /// Puts in what came. [`InputQueue::taken`] tells when it was taken.
     pub fn put(&mut self, input: Input) -> Sequence {
-        match input {
-            Input::DownstreamOpened(..)
-            | Input::DownstreamSaid(..)
-            | Input::DownstreamMalformed(_)
-            | Input::DownstreamClosed(_) => {
-                self.requests.push_back(input);
-                self.put += 1;
+        let client = match &input {
+            Input::DownstreamSaid(client, _)
+            | Input::DownstreamMalformed(client)
+            | Input::DownstreamClosed(client) => *client,
+            _ => return self.put_first(input),
+        };
+        if let Input::DownstreamSaid(_, message) = &input
+            && message.kind == Kind::Release
+        {
+            match self.requests.get_mut(&client).filter(|waiting| waiting.set_ups.contains(&message.id)) {
+                Some(waiting) => drop(waiting.cancels.insert(message.id, message.clone())),
+                None => return self.put_first(input),
             }
-            _ => self.completions.push(input),
+            return Sequence(self.rounds);
+        }
+        let waiting = self.requests.entry(client).or_default();
+        if waiting.inputs.is_empty() {
+            self.turns.push_back(client);
         }
-        Sequence(self.put)
+        if let Input::DownstreamSaid(_, message) = &input
+            && message.kind == Kind::SetUp
+        {
+            waiting.set_ups.insert(message.id);
+        }
+        waiting.inputs.push_back(input);
+        Sequence(self.rounds)
+    }
+
+    fn put_first(&mut self, input: Input) -> Sequence {
+        self.completions.push(input);
+        Sequence(self.rounds)
     }
 
-    /// Whether this one was taken: its connection may be read on.
-    pub fn taken(&self, sequence: Sequence) -> bool {
-        self.put - self.requests.len() as u64 >= sequence.0
+    /// Whether all that this connection put in until then was taken: it may be read on.
+    pub fn taken(&self, client: DownstreamId, until: Sequence) -> bool {
+        self.passed(until) && !self.requests.contains_key(&client)
+    }
+
+    /// Whether what went first then was taken.
+    pub fn passed(&self, until: Sequence) -> bool {
+        self.rounds > until.0
+    }
+
+    /// Requests of this connection that wait.
+    pub fn waits(&self, client: DownstreamId) -> usize {
+        self.requests.get(&client).map_or(0, |waiting| waiting.inputs.len())
     }
 
     /// Whether nothing waits.
@@ -49,11 +96,40 @@
         self.completions.is_empty() && self.requests.is_empty()
     }
 
-    /// What the next step takes in: all that is owed, if anything is, else the next of what is asked.
+    /// All that goes first.
+    pub fn take_first(&mut self) -> Vec<Input> {
+        self.rounds += 1;
+        std::mem::take(&mut self.completions)
+    }
+
+    /// What the next step takes in: all that goes first, if anything does, else the next requests, by turns.
     pub fn take(&mut self) -> Vec<Input> {
-        if !self.completions.is_empty() {
-            return std::mem::take(&mut self.completions);
+        let mut taken = self.take_first();
+        if !taken.is_empty() {
+            return taken;
+        }
+        while taken.len() < REQUESTS_AT_ONCE
+            && let Some(client) = self.turns.pop_front()
+        {
+            let Some(waiting) = self.requests.get_mut(&client) else { continue };
+            let most = IN_A_ROW.min(REQUESTS_AT_ONCE - taken.len());
+            for input in waiting.inputs.drain(..most.min(waiting.inputs.len())) {
+                let id = match &input {
+                    Input::DownstreamSaid(_, message) if message.kind == Kind::SetUp => Some(message.id),
+                    _ => None,
+                };
+                taken.push(input);
+                if let Some(id) = id.filter(|id| waiting.set_ups.remove(id)) {
+                    let cancel = waiting.cancels.remove(&id);
+                    taken.extend(cancel.map(|message| Input::DownstreamSaid(client, message)));
+                }
+            }
+            if waiting.inputs.is_empty() {
+                self.requests.remove(&client);
+            } else {
+                self.turns.push_back(client);
+            }
         }
-        self.requests.drain(..self.requests.len().min(REQUESTS_AT_ONCE)).collect()
+        taken
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod pool;
 pub mod table;
 
-pub use gateway::{Gateway, Input, Limits, Output};
+pub use gateway::{Gateway, Input, Limits, Output, Seen};
 
 /// A connection of an owner, or of anybody who came in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -17,14 +17,15 @@
 use tidespur_policy::interface::{MachineId, Seconds};
 
 /// A connection on which nothing was heard for this long carries no new set-up: a new one is dialled, and if it
-/// does not come up that proves that nothing ran. Guards against machines that died or hang unseen; costs a
-/// handshake.
+/// does not come up that proves that nothing ran. Guards against machines that died or hang unseen, and, as it is
+/// never more than half of the time after which machines close idle connections, against a set-up that crosses such
+/// a close; costs a handshake.
 const FRESH: Seconds = 0.5;
 /// A machine that holds a task of ours and was silent for this long is tested.
 const TEST_AFTER: Seconds = 1.0;
 /// A test without an answer for this long: the connection is given up.
 const TEST_FOR: Seconds = 1.5;
-/// A machine silent for this long that can't be dialled either is lost, and what stood there has ended. The
+/// A machine silent for this long that can't be dialled either has failed, and what stood there has ended. The
 /// platform allows 8 s from the end, which came after the last word: this leaves time for a late tick. Any sooner, and
 /// a zone that is cut off for some seconds loses all that runs there, at every scheduler. Harm: owners of what stood on
 /// a machine that vanished hear of it so much later.
@@ -34,17 +35,20 @@
 /// because nobody could call; costs a handshake a visit.
 const VISIT: Seconds = 2.0;
 const KEPT: Seconds = 1.0;
-/// So many connections may be finished and not ended yet while others take their room.
+/// So many connections may be half-closed and not ended yet while others take their room.
 const HALF_CLOSED_MOST: usize = 8;
 /// Pause between dials that fail.
 const REDIAL: Seconds = 0.25;
-/// An idle connection that is not needed is finished after this.
+/// An idle connection that is not needed is half-closed after this, or after half of the time after which the
+/// machines themselves close it.
 const IDLE: Seconds = 10.0;
-/// A machine has so long to end a connection that was finished here. What it wrote before it heard of that, such
+/// A machine has so long to end a connection that was half-closed here. What it wrote before it heard of that, such
 /// as the end of a task, is still read; a plain close would lose it.
 const HALF_CLOSED_FOR: Seconds = 2.0;
 /// Messages that wait for the next connection to a machine.
 const QUEUE_MOST: usize = 1_000;
+/// Machines that the list does not tell of and at which tasks were handed over.
+const UNLISTED_MOST: usize = 1_000;
 
 /// What is to be done with connections.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,7 +57,9 @@
     Dial(UpstreamId, String),
     /// Write these bytes.
     Write(UpstreamId, Vec<u8>),
-    /// Write this set-up; if not a byte of it left, that is told of this one.
+    /// This set-up could leave now: [`Pool::leaves`] follows once its client is known to be there still.
+    Due(UpstreamId, Id),
+    /// Write this set-up; what did not leave of it is told of this one.
     Offer(UpstreamId, Id, Vec<u8>),
     /// Write no more, and go on reading until the machine ends it too; `Ended` answers.
     HalfClose(UpstreamId),
@@ -66,12 +72,33 @@
 pub enum News {
     /// No byte of this set-up left.
     Unsent(Id),
+    /// The same, by a choice made here: the machine is not at fault.
+    Withdrawn(Id),
     /// The connection ended under this set-up: it may have run.
     Broken(Id),
     /// The machine is dead, or was silent too long: what stood there is over.
     Failed(MachineId),
 }
 
+/// Times of connections that the settings tell.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// One not made within this counts as none.
+    pub connect_within: Seconds,
+    /// Machines close one that is idle for this long.
+    pub idle: Seconds,
+}
+
+impl Times {
+    fn fresh(&self) -> Seconds {
+        FRESH.min(self.idle / 2.0)
+    }
+
+    fn spare(&self) -> Seconds {
+        IDLE.min(self.idle / 2.0)
+    }
+}
+
 /// How a connection ended, or was not made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -90,8 +117,12 @@
     dialled: Option<Seconds>,
     /// Set-ups without an answer: one, or more where there was no room for another connection.
     offers: Vec<Id>,
-    /// Set-ups to be written once it is open: kept one by one, so that what is given up never leaves.
+    /// Set-ups that have not left: until it is open and takes bytes, and it is sure that their clients are still there;
+    /// kept one by one, so that what is cancelled never leaves.
     waiting: Vec<(Id, Vec<u8>)>,
+    /// The machine takes no bytes now; with a set-up of which only a part has left.
+    blocked: bool,
+    part: Option<Id>,
     heard_at: Seconds,
     used_at: Seconds,
     tested_at: Option<Seconds>,
@@ -125,7 +156,7 @@
 struct Peer {
     address: String,
     gone: bool,
-    /// Connections to it that are not finished.
+    /// Connections to it that are not half-closed.
     upstreams: BTreeSet<UpstreamId>,
     /// Tasks of ours that stand there.
     holds: usize,
@@ -146,20 +177,20 @@
     idle: BTreeSet<(Rest, u64, UpstreamId)>,
     /// Connections that were looked at so far.
     looked: Cell<u64>,
-    /// Finished, and not ended by the machine yet: whose, and since when.
+    /// Half-closed, and not ended by the machine yet: whose, and since when.
     half_closed: BTreeMap<UpstreamId, (MachineId, Seconds)>,
     next: u64,
     /// Connections that may be there at once.
     most: usize,
-    connect_within: Seconds,
+    times: Times,
 }
 
 impl Pool {
-    /// No connections yet; at most `most` at once, each made within `connect_within`.
-    pub fn new(most: usize, connect_within: Seconds) -> Self {
+    /// No connections yet; at most `most` at once.
+    pub fn new(most: usize, times: Times) -> Self {
         let (peers, upstreams, half_closed) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (idle, most) = (BTreeSet::new(), most.max(2));
-        Self { peers, upstreams, idle, looked: Cell::new(0), half_closed, next: 0, most, connect_within }
+        Self { peers, upstreams, idle, looked: Cell::new(0), half_closed, next: 0, most, times }
     }
 
     /// The machine at the other end.
--- a/crates/platform/src/pool/listed.rs
+++ b/crates/platform/src/pool/listed.rs
@@ -31,11 +31,17 @@
         }
     }
 
-    /// The whole list was told: who is not in it has gone.
-    pub fn only(&mut self, listed: &BTreeSet<MachineId>) {
-        for (machine, peer) in &mut self.peers {
-            peer.gone |= !listed.contains(machine);
-        }
+    /// The whole list was told: who is not in it has gone. One that was never listed may yet be.
+    pub fn only(&mut self, listed: &BTreeSet<MachineId>) -> Vec<MachineId> {
+        let away = |(machine, peer): &(&MachineId, &mut Peer)| {
+            !listed.contains(machine) && !peer.gone && !peer.address.is_empty()
+        };
+        let away = self.peers.iter_mut().filter(away);
+        away.map(|(&machine, peer)| {
+            peer.gone = true;
+            machine
+        })
+        .collect()
     }
 
     /// Tasks of ours that stand at a machine came or went.
@@ -59,6 +65,18 @@
         self.peers.contains_key(&machine)
     }
 
+    /// A task was handed over that stands at a machine which the list may tell of only later; `false`: too many such.
+    pub fn expect(&mut self, now: Seconds, machine: MachineId) -> bool {
+        if self.peers.contains_key(&machine) {
+            return true;
+        }
+        if self.peers.values().filter(|peer| peer.address.is_empty()).count() >= UNLISTED_MOST {
+            return false;
+        }
+        self.peers.insert(machine, Peer { heard_at: now, ..Peer::default() });
+        true
+    }
+
     /// Machines that are known.
     pub fn peers(&self) -> usize {
         self.peers.len()
--- a/crates/platform/src/pool/room.rs
+++ b/crates/platform/src/pool/room.rs
@@ -17,7 +17,7 @@
             self.half_close(now, id, out);
         }
         while self.count() >= self.most {
-            // The one that was finished first: an end on its way there has had most time.
+            // The one that was half-closed first: an end on its way there has had most time.
             let first = self.half_closed.iter().min_by(|a, b| a.1.1.total_cmp(&b.1.1)).map(|(&id, _)| id);
             let Some(id) = first else { return false };
             self.half_closed.remove(&id);
@@ -45,6 +45,8 @@
             dialled: Some(now),
             offers: Vec::new(),
             waiting: Vec::new(),
+            blocked: false,
+            part: None,
             heard_at: now,
             used_at: now,
             tested_at: None,
--- a/crates/platform/src/pool/upkeep.rs
+++ b/crates/platform/src/pool/upkeep.rs
@@ -7,8 +7,7 @@
     pub fn opened(&mut self, now: Seconds, id: UpstreamId, out: &mut Vec<PoolAction>) {
         let Some(line) = self.upstreams.get_mut(&id) else { return out.push(PoolAction::Close(id)) };
         (line.dialled, line.heard_at, line.opened_at) = (None, now, now);
-        let waiting = std::mem::take(&mut line.waiting);
-        out.extend(waiting.into_iter().map(|(offer, bytes)| PoolAction::Offer(id, offer, bytes)));
+        out.extend(line.waiting.iter().map(|(offer, _)| PoolAction::Due(id, *offer)));
         let machine = line.machine;
         if let Some(peer) = self.peers.get_mut(&machine) {
             (peer.fails, peer.refused, peer.heard_at) = (0, 0, now);
@@ -48,7 +47,8 @@
             self.half_closed.insert(id, (line.machine, now));
         }
         // Only the set-up that could not be written is known not to have left: others on the line had.
-        let never_left = |offer: Id| dialling || unwritten == Some(Some(offer));
+        let waited: BTreeSet<Id> = line.waiting.iter().map(|(offer, _)| *offer).collect();
+        let never_left = |offer: Id| waited.contains(&offer) || unwritten == Some(Some(offer));
         let told = |offer: Id| if never_left(offer) { News::Unsent(offer) } else { News::Broken(offer) };
         news.extend(line.offers.into_iter().map(told));
         let heard = |other: &Upstream| other.dialled.is_none() && now - other.heard_at < TEST_AFTER;
@@ -81,14 +81,16 @@
 
     /// Time goes on: dials that take too long, tests, silence, idle connections.
     pub fn tick(&mut self, now: Seconds, out: &mut Vec<PoolAction>, news: &mut Vec<News>) {
-        let slow =
-            self.upstreams.iter().filter(|(_, l)| l.dialled.is_some_and(|at| now - at > self.connect_within));
+        let slow = self
+            .upstreams
+            .iter()
+            .filter(|(_, l)| l.dialled.is_some_and(|at| now - at > self.times.connect_within));
         let silent = self.upstreams.iter().filter(|(_, l)| l.tested_at.is_some_and(|at| now - at > TEST_FOR));
         let over: Vec<UpstreamId> = slow.chain(silent).map(|(&id, _)| id).collect();
         for id in over {
             self.malformed(now, id, out, news);
         }
-        let idle = |line: &Upstream| line.idle() && now - line.used_at > IDLE;
+        let idle = |line: &Upstream| line.idle() && now - line.used_at > self.times.spare();
         let idle: Vec<UpstreamId> =
             self.upstreams.iter().filter(|(_, line)| idle(line)).map(|(&id, _)| id).collect();
         for id in idle {
@@ -112,7 +114,8 @@
         for (_, machine) in wanted {
             self.keep(now, machine, out, news);
         }
-        self.peers.retain(|_, peer| !peer.gone || peer.holds > 0 || !peer.upstreams.is_empty());
+        let listed = |peer: &Peer| !peer.gone && !peer.address.is_empty();
+        self.peers.retain(|_, peer| listed(peer) || peer.holds > 0 || !peer.upstreams.is_empty());
     }
 
     /// Keeps one connection to a machine that holds a task of ours, and finds out whether it lives.
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -53,6 +53,8 @@
     pub from: Option<IpAddr>,
     /// Where it is.
     pub stage: Stage,
+    /// The class's index in the settings.
+    pub class_index: usize,
     /// What a machine is sent, but for the wait.
     pub class: Vec<u8>,
     /// Name of the task.
@@ -61,6 +63,8 @@
     pub description: Vec<u8>,
     /// Attempts made.
     pub sends: u32,
+    /// When the first attempt that may have run began.
+    pub began: Option<Seconds>,
 }
 
 /// All requests.
@@ -72,7 +76,7 @@
     of_client: BTreeSet<(DownstreamId, Id)>,
     at_machine: BTreeSet<(MachineId, Id)>,
     untils: BTreeSet<(u64, Id)>,
-    ended: VecDeque<(Seconds, Id)>,
+    ended: VecDeque<(Seconds, Id, u8)>,
     next: u64,
 }
 
@@ -153,6 +157,20 @@
         })
     }
 
+    /// An attempt begins; the first one counts, until it is known not to have run.
+    pub fn begins(&mut self, now: Seconds, id: Id) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.began.get_or_insert(now);
+        }
+    }
+
+    /// No attempt has run.
+    pub fn has_not_run(&mut self, id: Id) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.began = None;
+        }
+    }
+
     /// The owner of a task that stands came back by another connection.
     pub fn reached_by(&mut self, id: Id, client: DownstreamId, from: Option<IpAddr>) {
         if let Some(request) = self.requests.get_mut(&id)
@@ -193,17 +211,17 @@
     }
 
     /// A machine told the end of a task that is not known here: it may be handed over only now.
-    pub fn ended_elsewhere(&mut self, now: Seconds, id: Id) {
-        while self.ended.front().is_some_and(|&(at, _)| now - at > ENDED_FOR)
+    pub fn ended_elsewhere(&mut self, now: Seconds, id: Id, cause: u8) {
+        while self.ended.front().is_some_and(|&(at, ..)| now - at > ENDED_FOR)
             || self.ended.len() >= ENDED_MOST
         {
             self.ended.pop_front();
         }
-        self.ended.push_back((now, id));
+        self.ended.push_back((now, id, cause));
     }
 
-    /// Whether a machine told the end of this task before it was handed over.
-    pub fn has_ended(&self, id: Id) -> bool {
-        self.ended.iter().any(|&(_, ended)| ended == id)
+    /// The cause with which a machine told the end of this task, where it did before the task was handed over.
+    pub fn has_ended(&self, id: Id) -> Option<u8> {
+        self.ended.iter().rev().find(|&&(_, ended, _)| ended == id).map(|&(.., cause)| cause)
     }
 }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr};
 use tidespur_platform::message::{Decoder, Id, Kind, Message, code};
 use tidespur_platform::pool::PoolAction;
-use tidespur_platform::{DownstreamId, Gateway, Input, Limits, Output, UpstreamId, discovery};
+use tidespur_platform::{DownstreamId, Gateway, Input, Limits, Output, Seen, UpstreamId, discovery};
 use tidespur_settings::{Info, Site};
 
 pub const OWNER: DownstreamId = DownstreamId(1);
@@ -82,7 +82,7 @@
 impl Played {
     /// With machines 1 to `machines`, and the two clients connected.
     pub fn new(machines: u32) -> Self {
-        Self::with(machines, Limits { clients: 8, lines: 16 })
+        Self::with(machines, Limits { downstreams: 8, upstreams: 16, closing: 2 })
     }
 
     /// The same under other limits.
@@ -96,10 +96,32 @@
         played
     }
 
-    /// One input; what it leads to stands in `out` alone.
+    /// One input; what it leads to stands in `out` alone. Looks find that all is read.
     pub fn step(&mut self, input: Input) -> &[Output] {
+        self.step_seeing(input, |_| vec![])
+    }
+
+    /// The same; a look at a client finds what `unread` tells of it.
+    pub fn step_seeing(
+        &mut self,
+        input: Input,
+        mut unread: impl FnMut(DownstreamId) -> Vec<Input>,
+    ) -> &[Output] {
         self.out.clear();
-        self.gateway.step(self.now, [input], &mut self.out);
+        let mut inputs = vec![input];
+        while !inputs.is_empty() {
+            let mut out = Vec::new();
+            self.gateway.step(self.now, std::mem::take(&mut inputs), &mut out);
+            for output in out {
+                if let Output::Look(client) = output {
+                    inputs.extend(unread(client));
+                    inputs.push(Input::Looked(client, Seen::All));
+                } else {
+                    inputs.extend((output == Output::StopListening).then_some(Input::Unlistened));
+                    self.out.push(output);
+                }
+            }
+        }
         &self.out
     }
 
--- a/crates/platform/tests/gateway.rs
+++ b/crates/platform/tests/gateway.rs
@@ -388,12 +388,37 @@
     p.step(Input::UpstreamOpened(line));
     p.machine_says(line, release(5, cause::NORMAL));
     assert_eq!(p.told(OWNER), [release(5, cause::NORMAL)]);
-    // Told of an end before it was handed over, and of a machine that is not known.
+    // Told of an end before it was handed over: with the machine's own cause.
     p.machine_says(line, release(6, cause::NORMAL));
     p.client_says(OWNER, handed(6, "s-1"));
-    assert_eq!(p.told(OWNER)[0].kind, Kind::Release);
+    assert_eq!(p.told(OWNER), [release(6, cause::NORMAL)]);
+}
+
+#[test]
+fn what_is_handed_over_at_a_machine_that_is_listed_a_moment_later_stands_on() {
+    let mut p = Played::new(1);
+    p.client_says(OWNER, handed(7, "s-2"));
+    p.wait(1.0, None);
+    assert!(p.told(OWNER).is_empty() && p.dials().is_empty(), "nobody knows yet where it stands");
+    p.step(notice(2, false, &[(2, "Ready", 900_000)]));
+    p.wait(0.3, None);
+    let (line, address) = p.dials().pop().expect("its machine is called");
+    assert!(address.starts_with("127.0.1.2:"));
+    p.step(Input::UpstreamOpened(line));
+    p.machine_says(line, release(7, cause::NORMAL));
+    assert_eq!(p.told(OWNER), [release(7, cause::NORMAL)]);
+}
+
+#[test]
+fn what_is_handed_over_at_a_machine_that_is_never_listed_is_over_within_eight_seconds() {
+    let mut p = Played::new(1);
     p.client_says(OWNER, handed(7, "s-99"));
-    assert_eq!(p.told(OWNER)[0].kind, Kind::Release);
+    // A whole list without it says nothing of one that was never listed.
+    p.step(notice(2, true, &[(1, "Ready", 0)]));
+    assert!(p.told(OWNER).is_empty());
+    p.wait(7.9, None);
+    assert_eq!(p.told(OWNER), [release(7, cause::FAILED)]);
+    assert_eq!(p.gateway.sizes()[4], 1, "nothing is kept of it");
 }
 
 #[test]
@@ -418,7 +443,7 @@
     p.wait(3.6, None);
     let answered = p.told(OWNER).iter().filter(|m| m.kind == Kind::Release && m.id == Id(7)).count();
     assert_eq!(answered, 1);
-    assert!(p.out.contains(&Output::End));
+    assert!(p.out.iter().any(|o| matches!(o, Output::End(_))));
 }
 
 #[test]
@@ -427,11 +452,11 @@
     let (line, _) = p.standing(5, "web");
     p.step(Input::Leave);
     p.wait(2.0, None);
-    assert!(!p.out.contains(&Output::End));
+    assert!(!p.out.iter().any(|o| matches!(o, Output::End(_))));
     p.machine_says(line, release(5, cause::FAILED));
     assert_eq!(p.told(OWNER), [release(5, cause::FAILED)]);
     p.wait(0.2, None);
-    assert!(p.out.contains(&Output::End));
+    assert!(p.out.iter().any(|o| matches!(o, Output::End(_))));
 }
 
 #[test]
@@ -483,7 +508,7 @@
 
 /// With two descriptors for machines, set-ups 5 and 7 share a connection that is being dialled.
 fn shared_dial() -> (Played, UpstreamId) {
-    let mut p = Played::with(1, Limits { clients: 8, lines: 2 });
+    let mut p = Played::with(1, Limits { downstreams: 8, upstreams: 2, closing: 2 });
     let mut dials = Vec::new();
     for id in [5, 6, 7] {
         p.client_says(OWNER, set_up(id, "slot"));
@@ -561,7 +586,7 @@
 
 #[test]
 fn without_room_for_a_connection_to_each_machine_they_take_turns_and_none_is_lost() {
-    let mut p = Played::with(12, Limits { clients: 8, lines: 4 });
+    let mut p = Played::with(12, Limits { downstreams: 8, upstreams: 4, closing: 2 });
     for n in 1..=12 {
         p.client_says(OWNER, handed(n, &format!("s-{n}")));
     }
--- a/crates/platform/tests/input_queue.rs
+++ b/crates/platform/tests/input_queue.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::*;
-use tidespur_platform::input_queue::InputQueue;
+use tidespur_platform::input_queue::{InputQueue, Sequence};
+use tidespur_platform::message::{Id, Kind, cause};
 use tidespur_platform::{Input, UpstreamId};
 
 fn is_asked(input: &Input) -> bool {
@@ -12,32 +13,33 @@
 
 #[test]
 fn ends_and_answers_go_before_a_flood_of_set_ups_that_came_first() {
-    let mut turn = InputQueue::default();
+    let mut queue = InputQueue::default();
     for id in 1..=1_000 {
-        turn.put(Input::DownstreamSaid(OWNER, set_up(id, "web")));
+        queue.put(Input::DownstreamSaid(OWNER, set_up(id, "web")));
     }
-    turn.put(Input::UpstreamSaid(UpstreamId(1), answer(5)));
-    assert!(matches!(turn.take()[..], [Input::UpstreamSaid(..)]));
+    queue.put(Input::UpstreamSaid(UpstreamId(1), answer(5)));
+    assert!(matches!(queue.take()[..], [Input::UpstreamSaid(..)]));
     // And what comes while the flood is taken in waits for a bounded part of it only.
-    let first = turn.take();
+    let first = queue.take();
     assert!(first.len() < 100 && first.iter().all(is_asked));
-    turn.put(Input::UpstreamEnded(UpstreamId(1)));
-    assert!(matches!(turn.take()[..], [Input::UpstreamEnded(_)]));
+    queue.put(Input::UpstreamEnded(UpstreamId(1)));
+    assert!(matches!(queue.take()[..], [Input::UpstreamEnded(_)]));
 }
 
 #[test]
-fn words_of_one_client_keep_their_order_and_none_is_lost() {
-    let mut turn = InputQueue::default();
-    let mut sequences = Vec::new();
+fn messages_of_one_client_keep_their_order_and_none_is_lost() {
+    let mut queue = InputQueue::default();
+    let mut last = Sequence::default();
     for id in 1..=200 {
-        sequences.push(turn.put(Input::DownstreamSaid(OWNER, set_up(id, "web"))));
+        last = queue.put(Input::DownstreamSaid(OWNER, set_up(id, "web")));
     }
-    sequences.push(turn.put(Input::DownstreamClosed(OWNER)));
+    queue.put(Input::DownstreamClosed(OWNER));
     let mut seen = Vec::new();
-    while !turn.is_empty() {
-        assert!(sequences.iter().enumerate().all(|(n, &sequence)| turn.taken(sequence) == (n < seen.len())));
-        seen.extend(turn.take());
+    while !queue.is_empty() {
+        assert!(!queue.taken(OWNER, last), "it is read on only once all that it said was taken");
+        seen.extend(queue.take());
     }
+    assert!(queue.taken(OWNER, last));
     let ids = seen.iter().filter_map(|input| match input {
         Input::DownstreamSaid(_, message) => Some(message.id.0),
         _ => None,
@@ -45,3 +47,50 @@
     assert!(ids.eq(1..=200));
     assert!(matches!(seen.last(), Some(Input::DownstreamClosed(_))));
 }
+
+#[test]
+fn connections_take_turns_so_that_a_flood_on_one_holds_up_no_other() {
+    let mut queue = InputQueue::default();
+    for id in 1..=1_000 {
+        queue.put(Input::DownstreamSaid(OWNER, set_up(id, "web")));
+    }
+    queue.put(Input::DownstreamSaid(OTHER, set_up(2_000, "web")));
+    assert!(queue.take().iter().any(|input| matches!(input, Input::DownstreamSaid(OTHER, _))));
+}
+
+#[test]
+fn a_cancel_whose_set_up_was_taken_goes_before_a_flood_and_one_whose_set_up_waits_stays_beside_it() {
+    let mut queue = InputQueue::default();
+    queue.put(Input::DownstreamSaid(OWNER, set_up(1, "web")));
+    assert_eq!(queue.take().len(), 1);
+    for id in 2..=200 {
+        queue.put(Input::DownstreamSaid(OWNER, set_up(id, "web")));
+    }
+    queue.put(Input::DownstreamSaid(OWNER, release(1, cause::NORMAL)));
+    queue.put(Input::DownstreamSaid(OWNER, release(100, cause::NORMAL)));
+    let first = queue.take();
+    assert!(matches!(&first[..], [Input::DownstreamSaid(_, message)] if message.id == Id(1)), "{first:?}");
+    let mut rest = Vec::new();
+    while !queue.is_empty() {
+        rest.push(queue.take());
+    }
+    let of = |input: &Input| match input {
+        Input::DownstreamSaid(_, message) => Some((message.id.0, message.kind)),
+        _ => None,
+    };
+    // In one step with its set-up, so that no attempt lies between the two.
+    let step = rest.iter().find(|step| step.iter().any(|input| of(input).is_some_and(|m| m.0 == 100)));
+    let both: Vec<_> = step.expect("it is taken").iter().filter_map(of).filter(|m| m.0 == 100).collect();
+    assert_eq!(both, [(100, Kind::SetUp), (100, Kind::Release)]);
+}
+
+#[test]
+fn that_a_client_has_gone_goes_before_all_that_it_asked_for() {
+    let mut queue = InputQueue::default();
+    for id in 1..=500 {
+        queue.put(Input::DownstreamSaid(OWNER, set_up(id, "web")));
+    }
+    queue.put(Input::DownstreamGone(OWNER));
+    queue.put(Input::DownstreamClosed(OWNER));
+    assert!(matches!(queue.take()[..], [Input::DownstreamGone(OWNER)]));
+}
--- a/crates/platform/tests/recover.rs
+++ b/crates/platform/tests/recover.rs
@@ -9,7 +9,7 @@
 use tidespur_platform::input_queue::InputQueue;
 use tidespur_platform::message::{Id, Kind, Message, cause, code};
 use tidespur_platform::pool::PoolAction;
-use tidespur_platform::{DownstreamId, Gateway, Input, Limits, Output, UpstreamId, discovery};
+use tidespur_platform::{DownstreamId, Gateway, Input, Limits, Output, Seen, UpstreamId, discovery};
 use tidespur_settings::Info;
 
 const MACHINES: usize = 400;
@@ -214,7 +214,10 @@
                 self.after(RTT, What::Input(Input::UpstreamEnded(line)))
             }
             Output::Upstream(PoolAction::Close(line)) => drop(self.lines.remove(&line)),
-            Output::CloseDownstream(_) | Output::Log(_) | Output::End => {}
+            Output::CloseDownstream(_) | Output::Log(_) | Output::End(_) => {}
+            Output::Upstream(PoolAction::Due(..)) | Output::Look(_) | Output::StopListening => {
+                unreachable!("answered in the step")
+            }
         }
     }
 
@@ -248,15 +251,22 @@
                 self.now = next.min(due).max(self.now + 1e-6).min(until);
                 continue;
             }
-            let (before, read) = (self.gateway.looked(), inputs.len());
-            let mut out = Vec::new();
-            self.gateway.step(self.now, inputs, &mut out);
-            let [machines, lines] = self.gateway.looked();
-            let looks = LOOK[0] * (machines - before[0]) as f64 + LOOK[1] * (lines - before[1]) as f64;
-            self.now += MESSAGE * read as f64 + looks;
-            for output in out {
-                self.now += MESSAGE;
-                self.carry_out(output);
+            while !inputs.is_empty() {
+                let (before, read) = (self.gateway.looked(), inputs.len());
+                let mut out = Vec::new();
+                self.gateway.step(self.now, std::mem::take(&mut inputs), &mut out);
+                let [machines, lines] = self.gateway.looked();
+                let looks = LOOK[0] * (machines - before[0]) as f64 + LOOK[1] * (lines - before[1]) as f64;
+                self.now += MESSAGE * read as f64 + looks;
+                for output in out {
+                    self.now += MESSAGE;
+                    if let Output::Look(client) = output {
+                        // What owners said is in the queue at once here: nothing is unread.
+                        inputs.push(Input::Looked(client, Seen::Read));
+                    } else {
+                        self.carry_out(output);
+                    }
+                }
             }
         }
     }
--- a/crates/settings/src/info.rs
+++ b/crates/settings/src/info.rs
@@ -1,12 +1,13 @@
 //! The settings object of the operators, as the simulator's first message and the platform's configuration hold it.
 
+use crate::wire::{Family, Limits, Realm, ReportInfo, SafetyInfo, Service, Tariffs};
 use serde::Deserialize;
 use tidespur_policy::interface::*;
 
 /// Where the settings do not tell: a connection not made within this counts as none.
 const CONNECT_TIMEOUT: Seconds = 0.25;
 
-/// What a door needs: the policy's settings, and the names and limits that only sockets meet.
+/// What a protocol front end needs: the policy's settings, and the names and limits that only sockets meet.
 #[derive(Clone, Debug)]
 pub struct Site {
     /// What the policy is told.
@@ -19,6 +20,8 @@
     pub zones: Vec<String>,
     /// A connection not made within this counts as none.
     pub connect_timeout: Seconds,
+    /// Machines close a connection that is idle for this long; endless where the settings do not tell.
+    pub connection_idle: Seconds,
 }
 
 /// The settings object as it is told. Keys that are not known are passed over.
@@ -47,98 +50,6 @@
     zones: Vec<String>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Service {
-    #[serde(default)]
-    name: String,
-    aim_s: f64,
-    deadline_s: f64,
-    effect: String,
-    #[serde(default)]
-    group: String,
-    #[serde(default)]
-    window_s: f64,
-    credit: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Realm {
-    #[serde(default)]
-    quota_per_s: f64,
-    share: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-#[derive(Default)]
-struct Family {
-    accepts_memory: f64,
-    ack: String,
-    admit_cores: f64,
-    apart_by: Vec<String>,
-    class_calm: Vec<f64>,
-    cold_bears: f64,
-    eviction_as_moves: f64,
-    kind_by_class: Vec<i64>,
-    kind_cores: Vec<f64>,
-    lists_free: bool,
-    lost_after: Vec<f64>,
-    measured_by: String,
-    mem_of_kind: Vec<f64>,
-    one_home: bool,
-    priority_by_class: Vec<u32>,
-    refused_price: f64,
-    start_seconds: Vec<f64>,
-    together_max: Vec<u32>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Limits {
-    max_attempts: u32,
-    #[serde(default)]
-    max_retry_after_s: f64,
-    #[serde(default)]
-    peers: bool,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    connect_timeout_s: Option<f64>,
-}
-
-#[derive(Deserialize)]
-struct ReportInfo {
-    #[serde(default)]
-    via: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct SafetyInfo {
-    answer_slack_s: f64,
-    #[serde(default)]
-    ask_within_s: f64,
-    cold_from: f64,
-    cold_s: f64,
-    drain_grace_s: f64,
-    fall_multiple: f64,
-    overload_for_s: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(default)]
-#[derive(Default)]
-struct Tariffs {
-    fleet: f64,
-    moves: f64,
-    peer: f64,
-    probe: f64,
-}
-
 fn place_of(name: &str) -> Result<Option<Place>, String> {
     Ok(Some(match name {
         "all" => Place::All,
@@ -251,7 +162,7 @@
         })
     }
 
-    /// The same, with the names and limits that a door needs beside it.
+    /// The same, with the names and limits that a protocol front end needs beside it.
     ///
     /// # Errors
     /// Names the field that can't be worked with.
@@ -261,6 +172,7 @@
             kinds: self.kinds.clone(),
             zones: self.zones.clone(),
             connect_timeout: self.limits.connect_timeout_s.filter(|s| *s > 0.0).unwrap_or(CONNECT_TIMEOUT),
+            connection_idle: self.limits.conn_idle_s.filter(|s| *s > 0.0).unwrap_or(f64::INFINITY),
             settings: self.settings()?,
         })
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,8 @@
 //! The operators' settings object, load reports, reasons and ids, read once for the simulator's adapter and for the
-//! platform's door. Decides nothing.
+//! platform's front end. Decides nothing.
 
 pub mod info;
+mod wire;
 pub mod words;
 
 pub use info::{Info, Site};
