An attempt's answer is read before its time is over; crossings on real connections as tests

Cause: with the loop held for a second an answer that had come in time lay in the kernel while the tick ended its attempt (live, run.rs: tick before readers; seen in the test of the end: taken 3, placed 0). Change: before attempts time out their connections are read, once; completions go before the tick.

Tests hold the program (SIGSTOP) so that it finds both events at once in the bad order.

--- /dev/null
+++ b/crates/planner/tests/gone.rs
@@ -0,0 +1,160 @@
+//! A client that has gone while nobody looked: no attempt of its begins. The loop is held (SIGSTOP) while the client
+//! leaves, so that it finds all at once; what a machine hears first afterwards is another's set-up, or the test fails.
+
+mod common;
+#[path = "common/machine.rs"]
+mod machine;
+
+use common::*;
+use machine::*;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+
+type Leave = fn(TcpStream);
+
+/// However a client leaves.
+const WAYS: [(&str, Leave); 3] = [
+    ("closes", drop),
+    ("half-closes", |stream| {
+        stream.shutdown(Shutdown::Write).unwrap();
+        // Held open: nobody reads it.
+        std::mem::forget(stream);
+    }),
+    ("resets", |stream| {
+        let stream = socket2::Socket::from(stream);
+        stream.set_linger(Some(std::time::Duration::ZERO)).unwrap();
+    }),
+];
+
+/// A scheduler with one machine, to which a connection is open, and an owner.
+fn fresh(test: &str) -> (Scheduler, Machine, TcpStream, usize) {
+    let (mut machine, (_board, board_at)) = (Machine::new(), listen());
+    let scheduler = Scheduler::start(test, board_at, &event(1, true, "s-1", machine.at));
+    let mut owner = greeted(&scheduler);
+    owner.write_all(&set_up(5)).unwrap();
+    let (connection, id) = machine.next_set_up();
+    assert_eq!(id, 5);
+    machine.accepts(connection, 5);
+    assert_eq!(next(&mut owner).0, 9);
+    (scheduler, machine, owner, connection)
+}
+
+/// The next set-up that reaches the machine is this owner's.
+fn only(machine: &mut Machine, owner: &mut TcpStream) {
+    owner.write_all(&set_up(9_999)).unwrap();
+    assert_eq!(machine.next_set_up().1, 9_999, "an attempt began for a client that has gone");
+}
+
+#[test]
+fn a_set_up_and_its_end_in_the_kernel_never_leave() {
+    for (way, leave) in WAYS {
+        let (scheduler, mut machine, mut owner, connection) = fresh(&format!("gone-{way}"));
+        let mut gone = greeted(&scheduler);
+        scheduler.held(|| {
+            // A word on it makes the connection one that carries a set-up at once.
+            machine.says(connection, &message(6, 5, &[]));
+            gone.write_all(&set_up(6)).unwrap();
+            leave(gone);
+        });
+        only(&mut machine, &mut owner);
+    }
+}
+
+#[test]
+fn set_ups_taken_back_in_one_go_never_leave() {
+    let (scheduler, mut machine, mut owner, connection) = fresh("taken-back");
+    let mut gone = greeted(&scheduler);
+    scheduler.held(|| {
+        machine.says(connection, &message(6, 5, &[]));
+        let set_ups: Vec<u8> = (100..170).flat_map(set_up).collect();
+        let cancels: Vec<u8> = (100..170).flat_map(|id| message(12, id, &[(222, &[16])])).collect();
+        gone.write_all(&[set_ups, cancels].concat()).unwrap();
+    });
+    only(&mut machine, &mut owner);
+}
+
+#[test]
+fn a_close_behind_a_flood_is_known_before_the_flood_leaves() {
+    let (scheduler, mut machine, mut owner, connection) = fresh("flood-gone");
+    let mut gone = greeted(&scheduler);
+    scheduler.held(|| {
+        machine.says(connection, &message(6, 5, &[]));
+        // More than one read takes in.
+        gone.write_all(&(100..400).flat_map(set_up).collect::<Vec<u8>>()).unwrap();
+        drop(gone);
+    });
+    only(&mut machine, &mut owner);
+}
+
+#[test]
+fn no_second_attempt_begins_where_the_outcome_of_the_first_comes_before_the_close() {
+    let (mut machines, (_board, board_at)) = ([Machine::new(), Machine::new()], listen());
+    let known: Vec<String> =
+        (0..2).map(|n| event(n as u64 + 1, n == 0, &format!("s-{n}"), machines[n].at)).collect();
+    let scheduler = Scheduler::start("between", board_at, &known.join(","));
+    let mut owner = greeted(&scheduler);
+    // Tasks are placed until both machines have a connection.
+    let mut id = 100;
+    while machines.iter().any(|machine| machine.connections() == 0) {
+        owner.write_all(&set_up(id)).unwrap();
+        let (n, connection, got) = either(&mut machines);
+        assert_eq!(got, id);
+        machines[n].accepts(connection, id);
+        assert_eq!(next(&mut owner).1, id);
+        id += 1;
+        assert!(id < 200, "one machine is never chosen");
+    }
+    let mut gone = greeted(&scheduler);
+    gone.write_all(&set_up(6)).unwrap();
+    let (n, connection, got) = either(&mut machines);
+    assert_eq!(got, 6);
+    scheduler.held(|| {
+        for other in 0..machines[1 - n].connections() {
+            machines[1 - n].says(other, &message(6, 6, &[]));
+        }
+        machines[n].says(connection, &message(12, 6, &[(222, &[34]), (201, b"lack_cpu")]));
+        drop(gone);
+    });
+    owner.write_all(&set_up(9_999)).unwrap();
+    assert_eq!(either(&mut machines).2, 9_999, "a second attempt began for a client that has gone");
+}
+
+/// The next set-up at one of the two: at which, on which connection, and its id.
+fn either(machines: &mut [Machine; 2]) -> (usize, usize, u64) {
+    let began = std::time::Instant::now();
+    loop {
+        for (n, machine) in machines.iter_mut().enumerate() {
+            if let Some((connection, SET_UP, id)) = machine.hears() {
+                return (n, connection, id);
+            }
+        }
+        assert!(began.elapsed() < PATIENCE, "no set-up came");
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    }
+}
+
+#[test]
+fn a_set_up_behind_a_dial_never_leaves_once_its_client_has_gone() {
+    let (_board, board_at) = listen();
+    let (listener, taken, at) = unreachable();
+    let scheduler = Scheduler::start_with("gone-dial", board_at, &event(1, true, "s-1", at), |config| {
+        config
+            .replace(r#""connectTimeoutS":0.25"#, r#""connectTimeoutS":9"#)
+            .replace(r#""safe""#, r#""unsafe""#)
+    });
+    let mut gone = greeted(&scheduler);
+    gone.write_all(&set_up(6)).unwrap();
+    until("a dial", || dials(scheduler.child.id()) == 1);
+    let mut dialled = scheduler.held(|| {
+        drop(taken);
+        drop(listener.accept().unwrap());
+        // The system tries again, and the connection is made while the loop is held.
+        let dialled = listener.accept().unwrap().0;
+        drop(gone);
+        TcpStream::from(dialled)
+    });
+    dialled.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut heard = Vec::new();
+    dialled.read_to_end(&mut heard).unwrap();
+    assert_eq!(heard, b"", "an attempt began for a client that has gone");
+}
--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -3,6 +3,6 @@
 pub mod config;
 mod discovery;
 mod run;
-mod socket;
+pub mod socket;
 
 pub use run::run;
--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -163,7 +163,7 @@
             for input in &inputs {
                 match input {
                     Input::DownstreamSaid(..) | Input::UpstreamSaid(..) => tracing::trace!(?input),
-                    Input::Tick | Input::Looked(..) => {}
+                    Input::Tick | Input::Looked(..) | Input::UpstreamLooked(_) => {}
                     _ => tracing::debug!(scheduler = self.name, ?input),
                 }
             }
@@ -195,6 +195,11 @@
                 inputs.extend(self.queue.borrow_mut().take_first());
                 inputs.push(Input::Looked(client, seen));
             }
+            Output::LookUpstream(upstream) => {
+                self.look_upstream(upstream);
+                inputs.extend(self.queue.borrow_mut().take_first());
+                inputs.push(Input::UpstreamLooked(upstream));
+            }
             Output::Upstream(action) => inputs.extend(self.on_upstream(action)),
             Output::Log(line) => tracing::info!(scheduler = self.name, "{line}"),
             Output::StopListening => {
--- a/crates/platform-net/src/run/downstream.rs
+++ b/crates/platform-net/src/run/downstream.rs
@@ -32,6 +32,9 @@
     loop {
         match Async::<TcpListener>::bind(address) {
             Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && tries < REBINDS => {
+                if tries == 0 {
+                    tracing::warn!(%address, "waits for its address, which is taken");
+                }
                 tries += 1;
                 std::thread::sleep(REBIND);
             }
--- a/crates/platform-net/src/run/upstream.rs
+++ b/crates/platform-net/src/run/upstream.rs
@@ -6,7 +6,7 @@
 pub(super) enum Upstream {
     /// Being dialled by this task: dropped with it, so that a dial given up holds no descriptor.
     Dialled(Task<()>),
-    Open(Rc<Socket>),
+    Open(Rc<Connection>),
 }
 
 impl Run {
@@ -78,14 +78,14 @@
     /// The connection to a machine, where it is open.
     fn open(&self, upstream: UpstreamId) -> Option<Rc<Socket>> {
         match self.upstreams.borrow().get(&upstream) {
-            Some(Upstream::Open(socket)) => Some(socket.clone()),
+            Some(Upstream::Open(connection)) => Some(connection.socket.clone()),
             Some(Upstream::Dialled(_)) | None => None,
         }
     }
 
     pub(super) fn upstream_over(&self, upstream: UpstreamId) -> bool {
         match self.upstreams.borrow_mut().remove(&upstream) {
-            Some(Upstream::Open(socket)) => socket.close(),
+            Some(Upstream::Open(connection)) => connection.socket.close(),
             // The dial ends here, and its descriptor is free again.
             Some(Upstream::Dialled(dial)) => drop(dial),
             None => return false,
@@ -96,7 +96,7 @@
     /// Whether all that was written to machines has left.
     pub(super) fn upstreams_flushed(&self) -> bool {
         self.upstreams.borrow().values().all(|upstream| match upstream {
-            Upstream::Open(socket) => socket.is_flushed(),
+            Upstream::Open(connection) => connection.socket.is_flushed(),
             Upstream::Dialled(_) => true,
         })
     }
@@ -111,8 +111,8 @@
             Some(Upstream::Dialled(dial)) => dial.detach(),
             _ => return,
         }
-        let socket = match made {
-            Ok(stream) => Rc::new(Socket::new(stream)),
+        let connection = match made {
+            Ok(stream) => Connection::new(stream),
             Err(problem) => {
                 let refused = problem.kind() == std::io::ErrorKind::ConnectionRefused;
                 self.put(if refused {
@@ -123,28 +123,51 @@
                 return;
             }
         };
-        self.upstreams.borrow_mut().insert(upstream, Upstream::Open(socket.clone()));
+        self.upstreams.borrow_mut().insert(upstream, Upstream::Open(connection.clone()));
         self.put(Input::UpstreamOpened(upstream));
-        self.hear(upstream, socket).await;
+        self.hear(upstream, connection).await;
     }
 
-    async fn hear(self: &Rc<Self>, upstream: UpstreamId, socket: Rc<Socket>) {
-        let mut decoder = Decoder::default();
-        loop {
-            let read = socket.read(&self.buffer).await.unwrap_or(0);
-            if !self.upstreams.borrow().contains_key(&upstream) {
+    async fn hear(self: &Rc<Self>, upstream: UpstreamId, connection: Rc<Connection>) {
+        while !connection.ended.get() {
+            // An error shows in the read.
+            let _ = connection.socket.readable().await;
+            if connection.ended.get() || !self.upstreams.borrow().contains_key(&upstream) {
                 return;
             }
-            if read == 0 {
-                break;
-            }
-            let said = |message| Input::UpstreamSaid(upstream, message);
-            for input in self.decode(&mut decoder, read, said, Input::UpstreamMalformed(upstream)) {
-                self.put(input);
-            }
+            self.hear_now(upstream, &connection);
             // All that is owed goes into the next step, which comes before this is polled again.
             futures_lite::future::yield_now().await;
         }
-        self.put(Input::UpstreamEnded(upstream));
+    }
+
+    /// Reads once what a machine has said, and puts it into the queue.
+    fn hear_now(&self, upstream: UpstreamId, connection: &Connection) {
+        let read = match connection.socket.read_now(&self.buffer) {
+            Ok(None) => return,
+            Ok(Some(0)) | Err(_) => {
+                connection.ended.set(true);
+                self.put(Input::UpstreamEnded(upstream));
+                return;
+            }
+            Ok(Some(read)) => read,
+        };
+        let said = |message| Input::UpstreamSaid(upstream, message);
+        let mut decoder = connection.decoder.borrow_mut();
+        for input in self.decode(&mut decoder, read, said, Input::UpstreamMalformed(upstream)) {
+            connection.ended.set(matches!(input, Input::UpstreamMalformed(_)));
+            self.put(input);
+        }
+    }
+
+    /// Reads what a machine has said by now, once at most: an answer is at the front of what lies unread.
+    pub(super) fn look_upstream(&self, upstream: UpstreamId) {
+        let connection = match self.upstreams.borrow().get(&upstream) {
+            Some(Upstream::Open(connection)) => connection.clone(),
+            Some(Upstream::Dialled(_)) | None => return,
+        };
+        if !connection.ended.get() {
+            self.hear_now(upstream, &connection);
+        }
     }
 }
--- a/crates/platform-net/src/socket.rs
+++ b/crates/platform-net/src/socket.rs
@@ -206,17 +206,18 @@
     }
 }
 
-/// A client's connection.
+/// A connection as its reader knows it.
 #[derive(Debug)]
 pub struct Connection {
     /// Its bytes.
     pub socket: Rc<Socket>,
-    /// What was read of its next message.
+    /// What was read of the peer's next message.
     pub decoder: RefCell<tidespur_platform::message::Decoder>,
     /// Since when a message is begun and not whole.
     pub half_since: Cell<Option<f64>>,
-    /// When it was accepted, and whether it has said anything whole since.
+    /// When it was accepted.
     pub opened_at: f64,
+    /// It has said something whole since.
     pub whole: Cell<bool>,
     /// Its end, or what can't be read, was seen: nothing more is read.
     pub ended: Cell<bool>,
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -120,7 +120,7 @@
     pub fn next_wake(&self) -> Seconds {
         let timer = self.timers.first().map_or(f64::INFINITY, |&(at, _)| at as f64 / 1e6);
         let late = self.table.next_late().map_or(f64::INFINITY, |at| at as f64 / 1e6);
-        timer.min(late).min(self.ticked + TICK).min(self.due.again_at)
+        timer.min(late).min(self.ticked + TICK).min(self.due.again_at).min(self.leaves_at())
     }
 
     /// Takes in what came at `now`, and tells what is to be done.
@@ -170,6 +170,7 @@
             Input::UpstreamFull(line, offer, bytes) => self.pool.full(line, offer, bytes),
             Input::UpstreamPart(line, offer) => self.pool.part(line, offer),
             Input::UpstreamDrained(line) => self.on_pool(out, |pool, acts| pool.drained(line, acts)),
+            Input::UpstreamLooked(line) => self.upstream_looked_at(now, line, out),
             Input::UpstreamMalformed(line) => self.malformed(now, line, out),
             Input::UpstreamSaid(line, message) => self.line_said(now, line, &message, out),
             Input::Delivered(event) => self.delivered_event(now, event, out),
@@ -189,10 +190,9 @@
             self.timers.remove(&(at, token));
             self.events.push(Event::Timer(token));
         }
-        for id in self.table.late(now) {
-            self.timed_out(now, id, out);
-        }
+        self.overdue(now, out);
         self.look_again(now, out);
+        self.leave_on(now, out);
         if now - self.ticked < TICK {
             return;
         }
@@ -207,7 +207,7 @@
         let pool = &self.pool;
         self.known.retain(|machine, _| pool.knows(*machine));
         self.pay(out);
-        self.leave_on(now, out);
+        self.close_on(out);
     }
 }
 
--- a/crates/platform/src/gateway/attempts.rs
+++ b/crates/platform/src/gateway/attempts.rs
@@ -42,8 +42,31 @@
         }
     }
 
+    /// Attempts whose time is over: an answer may lie unread, so their connections are looked at first. Guards against
+    /// a loop that lags and takes an attempt for failed that was answered in time. Costs one read.
+    pub(super) fn overdue(&mut self, now: Seconds, out: &mut Vec<Output>) {
+        let of = |id| match self.table.get(id).map(|request| request.stage) {
+            Some(Stage::Open { attempt: Some(attempt), .. }) => Some(attempt.line),
+            _ => None,
+        };
+        let lines: BTreeSet<UpstreamId> = self.table.late(now).into_iter().filter_map(of).collect();
+        out.extend(lines.into_iter().map(Output::LookUpstream));
+    }
+
+    /// What a machine had said on a connection was taken in: what is over now is over.
+    pub(super) fn upstream_looked_at(&mut self, now: Seconds, line: UpstreamId, out: &mut Vec<Output>) {
+        for id in self.table.late(now) {
+            match self.table.get(id).map(|request| request.stage) {
+                Some(Stage::Open { attempt: Some(attempt), .. }) if attempt.line == line => {
+                    self.timed_out(now, id, out);
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// The time of an attempt is over: it is cancelled.
-    pub(super) fn timed_out(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
+    fn timed_out(&mut self, now: Seconds, id: Id, out: &mut Vec<Output>) {
         let Some(Stage::Open { attempt: Some(attempt), .. }) = self.table.get(id).map(|r| r.stage) else {
             return;
         };
--- a/crates/platform/src/gateway/shutdown.rs
+++ b/crates/platform/src/gateway/shutdown.rs
@@ -68,24 +68,45 @@
 
     /// After the word to end: how far that is.
     pub(super) fn leave_on(&mut self, now: Seconds, out: &mut Vec<Output>) {
-        let Some(Leaving { at, stage }) = self.leaving.filter(|leaving| now - leaving.at > LEAVE_AFTER)
+        let Some(Leaving { at, stage }) = self.leaving.filter(|leaving| now > leaving.at + LEAVE_AFTER)
         else {
             return;
         };
-        let longest = self.site.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-        let by = |share: f64| at + LEAVE_AFTER + share * longest.min(DEADLINE_MOST);
+        let [answered, closed, flushed] =
+            [ANSWERED_BY, CLOSED_BY, FLUSHED_BY].map(|share| self.ends_by(at, share));
         match stage {
-            Stages::Serves if now > by(ANSWERED_BY) || self.table.count() == 0 => {
+            Stages::Serves if now >= answered || self.table.count() == 0 => {
                 self.answer_all(now, out);
                 self.leaving = Some(Leaving { at, stage: Stages::Unlistens });
                 out.push(Output::StopListening);
             }
-            Stages::Closes if now > by(CLOSED_BY) || self.downstreams.count() == 0 => {
+            Stages::Closes if now >= closed || self.downstreams.count() == 0 => {
                 self.leaving = Some(Leaving { at, stage: Stages::Ended });
-                out.push(Output::End((by(FLUSHED_BY) - now).max(0.0)));
+                out.push(Output::End((flushed - now).max(0.0)));
             }
-            Stages::Closes => self.close_all(out),
-            Stages::Serves | Stages::Unlistens | Stages::Ended => {}
+            Stages::Serves | Stages::Unlistens | Stages::Closes | Stages::Ended => {}
+        }
+    }
+
+    /// When this share of the time that the platform gives is over.
+    fn ends_by(&self, at: Seconds, share: f64) -> Seconds {
+        let longest = self.site.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        at + LEAVE_AFTER + share * longest.min(DEADLINE_MOST)
+    }
+
+    /// When the next of it is due at the latest.
+    pub(super) fn leaves_at(&self) -> Seconds {
+        match self.leaving {
+            Some(Leaving { at, stage: Stages::Serves }) => self.ends_by(at, ANSWERED_BY),
+            Some(Leaving { at, stage: Stages::Closes }) => self.ends_by(at, CLOSED_BY),
+            _ => f64::INFINITY,
+        }
+    }
+
+    /// Time goes on: who said something when it was to be closed is looked at again.
+    pub(super) fn close_on(&mut self, out: &mut Vec<Output>) {
+        if self.leaving.is_some_and(|leaving| leaving.stage == Stages::Closes) {
+            self.close_all(out);
         }
     }
 
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -22,6 +22,8 @@
  "safety":{"answerSlackS":0.05,"coldFrom":0.2,"coldS":9,"drainGraceS":1,"fallMultiple":3,"overloadForS":1},
  "tariffs":{}}"#;
 
+const KEYED: &str = r#""effect":"keyed","group":"all","credit":1,"windowS":1"#;
+
 pub fn site() -> Site {
     serde_json::from_str::<Info>(INFO).unwrap().site().unwrap()
 }
@@ -96,6 +98,18 @@
         played
     }
 
+    /// The same where `web` may be repeated only within a second.
+    pub fn keyed(machines: u32) -> Self {
+        let info = INFO.replace(r#""effect":"safe","group":"all","credit":1,"windowS":5"#, KEYED);
+        let site = serde_json::from_str::<Info>(&info).unwrap().site().unwrap();
+        let mut played = Self::new(machines);
+        played.gateway = Gateway::new(site, Limits { downstreams: 8, upstreams: 16, closing: 2 }, 7).unwrap();
+        let list: Vec<(u32, &str, u64)> = (1..=machines).map(|n| (n, "Ready", 0)).collect();
+        played.step(notice(1, true, &list));
+        played.step(Input::DownstreamOpened(OWNER, address(1)));
+        played
+    }
+
     /// One input; what it leads to stands in `out` alone. Looks find that all is read.
     pub fn step(&mut self, input: Input) -> &[Output] {
         self.step_seeing(input, |_| vec![])
@@ -113,7 +127,9 @@
             let mut out = Vec::new();
             self.gateway.step(self.now, std::mem::take(&mut inputs), &mut out);
             for output in out {
-                if let Output::Look(client) = output {
+                if let Output::LookUpstream(line) = output {
+                    inputs.push(Input::UpstreamLooked(line));
+                } else if let Output::Look(client) = output {
                     inputs.extend(unread(client));
                     inputs.push(Input::Looked(client, Seen::All));
                 } else {
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -30,10 +30,12 @@
     let mut sends: BTreeMap<MachineId, Vec<Seconds>> = BTreeMap::new();
     let mut attempts: BTreeMap<TaskId, u32> = BTreeMap::new();
     let (mut now, mut next) = (1001.0, 0);
+    let quiet = now + if rng.random_bool(0.5) { rng.random_range(1.0..5.0) } else { 0.0 };
     while now < 1008.0 {
         now += rng.random_range(0.0..0.1) / schedulers as f64;
         let (scheduler, events) = &mut fleet[rng.random_range(0..schedulers)];
-        for _ in 0..rng.random_range(0..4) {
+        // What a scheduler may save while it has nothing to place must not come out of all of them at once.
+        for _ in 0..if now < quiet { 0 } else { rng.random_range(0..4) } {
             next += 1;
             let work = Task { cores: 0.1, memory: 0.1, life: Some(0.5), ..task(next, 0, now + 3.0) };
             events.push(Event::Submit(Task { class: rng.random_range(0..2), ..work }));
