What a set-up carries beyond one customer's fields goes on to the machine; tenants by name

Traced with RUST_LOG=trace: set-ups of keyed classes carry parameter 219, those of a site with tenants 186 (the tenant's name); gateway actions.rs send wrote only class, wait, name and description, and ask.rs took every task for tenant 0. Ruled out: the order of parameters and the wait (the same on campus, where no class is keyed).

Change: all of a set-up but the retry mark, the hint and what the task asks for goes on in its order, with the wait written anew; the tenant is read by name where the settings have tenants, and one that is not known is refused like an unknown class.

--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -36,6 +36,13 @@
     let text = |code, what: &str| message.text(code).ok_or_else(|| format!("{what} is missing or no text"));
     let class = text(code::CLASS, "the class")?;
     let class = site.classes.iter().position(|name| name == class).ok_or("a class that is not known")?;
+    let tenant = match (site.tenants.is_empty(), text(code::TENANT, "the tenant")) {
+        (true, _) => 0,
+        (false, tenant) => {
+            let tenant = tenant?;
+            site.tenants.iter().position(|name| name == tenant).ok_or("a tenant that is not known")?
+        }
+    };
     let asks = fields(text(code::ASKS, "what the task asks for")?);
     let field = |name: &str| asks.get(name).copied().ok_or_else(|| format!("{name} is missing"));
     let most = |of: fn(&tidespur_policy::interface::Kind) -> f64, admit: f64| {
@@ -77,7 +84,7 @@
     let task = Task {
         id: TaskId(0),
         class,
-        tenant: 0,
+        tenant,
         service: ServiceId(words::hash(service)),
         deadline,
         life,
@@ -88,6 +95,13 @@
     Ok(Ask { task, at })
 }
 
+/// What of a set-up goes on to a machine, in its order: all that is not for schedulers alone, as platforms send more
+/// than one deployment's settings show (a tenant, the key of work that may be repeated). The wait is written anew.
+pub fn passed(message: Message) -> Vec<(u8, Vec<u8>)> {
+    let own = [code::RETRY, code::HINT, code::ASKS];
+    message.parameters.into_iter().filter(|(code, _)| !own.contains(code)).collect()
+}
+
 /// Whether a set-up names the machine that holds its task already.
 pub fn is_handed(message: &Message) -> bool {
     message.text(code::ASKS).is_some_and(|asks| fields(asks).contains_key("at"))
--- a/crates/platform/src/gateway/requests.rs
+++ b/crates/platform/src/gateway/requests.rs
@@ -76,23 +76,10 @@
         let from = self.downstreams.from(client);
         let task = self.table.number();
         ask.task.id = task;
-        let bytes = |code| message.get(code).map(<[u8]>::to_vec).unwrap_or_default();
-        let (class, name) = (bytes(code::CLASS), bytes(code::NAME));
-        let description = bytes(code::DESCRIPTION);
+        let passed = ask::passed(message);
         let stage = Stage::Open { attempt: None, may_have_run: false };
         let class_index = ask.task.class;
-        let mut request = Request {
-            task,
-            client,
-            from,
-            stage,
-            class_index,
-            class,
-            name,
-            description,
-            sends: 0,
-            began: None,
-        };
+        let mut request = Request { task, client, from, stage, class_index, passed, sends: 0, began: None };
         if let Some(at) = &ask.at {
             let machine = discovery::machine_id(at);
             // The list may tell of the machine only later; until it counts as failed, it is waited for.
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -55,12 +55,8 @@
     pub stage: Stage,
     /// The class's index in the settings.
     pub class_index: usize,
-    /// What a machine is sent, but for the wait.
-    pub class: Vec<u8>,
-    /// Name of the task.
-    pub name: Vec<u8>,
-    /// Its description.
-    pub description: Vec<u8>,
+    /// What a machine is sent, but for the wait: code and value, in the owner's order.
+    pub passed: Vec<(u8, Vec<u8>)>,
     /// Attempts made.
     pub sends: u32,
     /// When the first attempt that may have run began.
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -100,10 +100,14 @@
 
     /// The same where `web` may be repeated only within a second.
     pub fn keyed(machines: u32) -> Self {
-        let info = INFO.replace(r#""effect":"safe","group":"all","credit":1,"windowS":5"#, KEYED);
-        let site = serde_json::from_str::<Info>(&info).unwrap().site().unwrap();
-        let mut played = Self::new(machines);
-        played.gateway = Gateway::new(site, Limits { downstreams: 8, upstreams: 16, closing: 2 }, 7).unwrap();
+        Self::of(&INFO.replace(r#""effect":"safe","group":"all","credit":1,"windowS":5"#, KEYED), machines)
+    }
+
+    /// With other settings, and only the owner connected.
+    pub fn of(info: &str, machines: u32) -> Self {
+        let site = serde_json::from_str::<Info>(info).unwrap().site().unwrap();
+        let gateway = Gateway::new(site, Limits { downstreams: 8, upstreams: 16, closing: 2 }, 7).unwrap();
+        let mut played = Self { gateway, now: 1000.0, out: Vec::new() };
         let list: Vec<(u32, &str, u64)> = (1..=machines).map(|n| (n, "Ready", 0)).collect();
         played.step(notice(1, true, &list));
         played.step(Input::DownstreamOpened(OWNER, address(1)));
--- a/crates/platform/tests/gateway.rs
+++ b/crates/platform/tests/gateway.rs
@@ -141,3 +141,34 @@
     p.client_says(OWNER, set_up(5, "web"));
     assert!(p.dials().is_empty(), "it still drains");
 }
+
+#[test]
+fn all_that_is_not_for_schedulers_alone_goes_on_to_the_machine_in_its_order() {
+    let mut p = Played::new(1);
+    let extra = set_up(5, "web").with(219, b"a key").with(code::RETRY, b"1").with(250, b"new to us");
+    p.client_says(OWNER, extra);
+    let (line, _) = p.dials()[0].clone();
+    p.step(Input::UpstreamOpened(line));
+    let (_, offer) = p.written().remove(0);
+    let codes: Vec<u8> = offer.parameters.iter().map(|(code, _)| *code).collect();
+    assert_eq!(codes, [code::CLASS, code::WAIT, code::NAME, code::DESCRIPTION, 219, 250]);
+    assert_eq!((offer.get(219), offer.get(250)), (Some(&b"a key"[..]), Some(&b"new to us"[..])));
+}
+
+#[test]
+fn where_the_settings_have_tenants_a_set_up_names_one_of_them() {
+    let info =
+        INFO.replace(r#""odd":[1]"#, r#""realms":[{"name":"a","share":0.5},{"name":"b","share":0.5}]"#);
+    let tenant = |name: &[u8]| set_up(5, "web").with(code::TENANT, name);
+    for (message, taken) in [(tenant(b"b"), true), (tenant(b"c"), false), (set_up(5, "web"), false)] {
+        let mut p = Played::of(&info, 1);
+        p.client_says(OWNER, message);
+        assert_eq!(p.told(OWNER), if taken { vec![] } else { vec![release(5, cause::CONTENT)] });
+        let dialled = p.dials();
+        assert_eq!(dialled.len(), usize::from(taken));
+        if let Some((line, _)) = dialled.first() {
+            p.step(Input::UpstreamOpened(*line));
+            assert_eq!(p.written()[0].1.text(code::TENANT), Some("b"));
+        }
+    }
+}
--- a/crates/platform/tests/shutdown.rs
+++ b/crates/platform/tests/shutdown.rs
@@ -4,8 +4,7 @@
 
 use common::*;
 use tidespur_platform::message::{Id, Kind, cause};
-use tidespur_platform::{DownstreamId, Gateway, Input, Limits, Output, Seen};
-use tidespur_settings::Info;
+use tidespur_platform::{DownstreamId, Input, Output, Seen};
 
 fn ends(p: &Played) -> bool {
     p.out.iter().any(|output| matches!(output, Output::End(_)))
@@ -47,11 +46,7 @@
     for (deadline, killed) in [(8.0, 3.7), (3.0, 3.7), (1.0, 1.7), (0.4, 1.1)] {
         let info = INFO.replace(r#""deadlineS":6"#, &format!(r#""deadlineS":{deadline}"#));
         let info = info.replace(r#""deadlineS":8"#, &format!(r#""deadlineS":{deadline}"#));
-        let mut p = Played::new(1);
-        let site = serde_json::from_str::<Info>(&info).unwrap().site().unwrap();
-        p.gateway = Gateway::new(site, Limits { downstreams: 8, upstreams: 16, closing: 2 }, 7).unwrap();
-        p.step(notice(1, true, &[(1, "Ready", 0)]));
-        p.step(Input::DownstreamOpened(OWNER, address(1)));
+        let mut p = Played::of(&info, 1);
         p.standing(5, "web");
         p.step(Input::Leave);
         let began = p.now;
--- a/crates/settings/src/info.rs
+++ b/crates/settings/src/info.rs
@@ -14,6 +14,8 @@
     pub settings: Settings,
     /// Names of the classes, in order of their index.
     pub classes: Vec<String>,
+    /// Names of the tenants, likewise; may be empty.
+    pub tenants: Vec<String>,
     /// Names of the kinds of machines, likewise.
     pub kinds: Vec<String>,
     /// Names of the zones, likewise.
@@ -169,6 +171,7 @@
     pub fn site(self) -> Result<Site, String> {
         Ok(Site {
             classes: self.services.iter().map(|service| service.name.clone()).collect(),
+            tenants: self.realms.iter().map(|realm| realm.name.clone()).collect(),
             kinds: self.kinds.clone(),
             zones: self.zones.clone(),
             connect_timeout: self.limits.connect_timeout_s.filter(|s| *s > 0.0).unwrap_or(CONNECT_TIMEOUT),
--- a/crates/settings/src/wire.rs
+++ b/crates/settings/src/wire.rs
@@ -20,6 +20,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(crate) struct Realm {
+    #[serde(default)]
+    pub(crate) name: String,
     #[serde(default)]
     pub(crate) quota_per_s: f64,
     pub(crate) share: f64,
