--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -33,6 +33,9 @@
 const OPEN_MOST: usize = 256;
 /// Set-ups without an answer in all.
 const OPEN_MOST_ALL: usize = 8_192;
+/// Requests and tasks that stand, in all: more are not taken over. Guards against clients that name tasks without end.
+/// Harm: whoever has more is told that they failed.
+const REQUESTS_MOST: usize = 32_768;
 /// Releases that wait for a way to their owner.
 const OWED_MOST: usize = 4_096;
 /// Time goes on at least this often.
--- a/crates/platform/src/gateway/requests.rs
+++ b/crates/platform/src/gateway/requests.rs
@@ -84,7 +84,8 @@
             let machine = discovery::machine_id(at);
             // The list may tell of the machine only later; until it counts as failed, it is waited for.
             let ended = self.table.has_ended(id);
-            if ended.is_some() || !self.pool.expect(now, machine) {
+            let room = self.table.count() < REQUESTS_MOST;
+            if ended.is_some() || !room || !self.pool.expect(now, machine) {
                 let cause = ended.filter(|&cause| cause != cause::ENDED).unwrap_or(cause::FAILED);
                 out.push(Output::Downstream(client, Message::release(id, cause).bytes()));
                 return;
--- a/crates/platform/tests/standing.rs
+++ b/crates/platform/tests/standing.rs
@@ -138,3 +138,11 @@
     assert_eq!(p.told(OWNER), [release(7, cause::FAILED)]);
     assert_eq!(p.gateway.sizes()[4], 1, "nothing is kept of it");
 }
+
+#[test]
+fn a_client_that_names_tasks_without_end_is_told_so_in_the_end() {
+    let mut p = Played::new(200);
+    let all = (1..=40_000).map(|id| Input::DownstreamSaid(OTHER, handed(id, &format!("s-{}", id % 200 + 1))));
+    p.gateway.step(p.now, all, &mut p.out);
+    assert_eq!(p.told(OTHER).len(), 40_000 - 32_768);
+}
--- a/crates/platform/tests/withheld.rs
+++ b/crates/platform/tests/withheld.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use tidespur_platform::message::{Id, cause};
+use tidespur_platform::message::{Id, Kind, cause};
 use tidespur_platform::pool::PoolAction;
 use tidespur_platform::{Input, Output, Seen, UpstreamId};
 
@@ -140,3 +140,17 @@
         assert_eq!(told, 1, "one answer");
     }
 }
+
+#[test]
+fn an_answer_that_lies_unread_when_its_time_is_over_counts() {
+    let (mut p, line) = ready("web");
+    p.client_says(OWNER, set_up(6, "web"));
+    p.now += 5.0;
+    plain(&mut p, Input::Tick);
+    assert!(p.out.contains(&Output::LookUpstream(line)), "{:?}", p.out);
+    p.out.clear();
+    p.gateway.step(p.now, [Input::UpstreamSaid(line, answer(6)), Input::UpstreamLooked(line)], &mut p.out);
+    let told: Vec<_> = p.told(OWNER).iter().map(|m| (m.id, m.kind)).collect();
+    assert_eq!(told, [(Id(6), Kind::Answer)]);
+    assert!(p.written().is_empty(), "it is not cancelled");
+}
