Requests are taken in however many cancels come; what a look withholds stays bounded

Read once more: as cancels and closes go first, a flood of them could have held up all requests (input_queue.rs take), and set-ups cancelled while their client pours stayed in the list of what is due (clients.rs looked_at). Requests now have at least every second step (test), and the list keeps only what is out; a look leaves off at 256 requests that wait.

--- a/crates/platform-net/src/run/downstream.rs
+++ b/crates/platform-net/src/run/downstream.rs
@@ -11,7 +11,7 @@
 const FIRST_WITHIN: f64 = 2.6;
 /// A look reads so many bytes at most, and none where so many requests wait already.
 const LOOK_MOST: usize = 4 * TURN;
-const WAITING_MOST: usize = 2_048;
+const WAITING_MOST: usize = 256;
 /// One that was closed here is read for so long at most, until its peer closes it too.
 const LINGER: f64 = 1.0;
 
--- a/crates/platform/src/gateway/attempts.rs
+++ b/crates/platform/src/gateway/attempts.rs
@@ -56,11 +56,8 @@
     /// What a machine had said on a connection was taken in: what is over now is over.
     pub(super) fn upstream_looked_at(&mut self, now: Seconds, line: UpstreamId, out: &mut Vec<Output>) {
         for id in self.table.late(now) {
-            match self.table.get(id).map(|request| request.stage) {
-                Some(Stage::Open { attempt: Some(attempt), .. }) if attempt.line == line => {
-                    self.timed_out(now, id, out);
-                }
-                _ => {}
+            if self.table.is_out(id, line) {
+                self.timed_out(now, id, out);
             }
         }
     }
--- a/crates/platform/src/gateway/clients.rs
+++ b/crates/platform/src/gateway/clients.rs
@@ -65,6 +65,11 @@
             }
         }
         if seen == Seen::Part {
+            // What was cancelled meanwhile is forgotten, however long this goes on.
+            let table = &self.table;
+            if let Some(due) = self.due.of.get_mut(&client) {
+                due.retain(|&(upstream, id)| table.is_out(id, upstream));
+            }
             self.due.busy.insert(client);
             self.due.again_at = self.due.again_at.min(now + LOOK_AGAIN);
             return;
--- a/crates/platform/src/input_queue.rs
+++ b/crates/platform/src/input_queue.rs
@@ -38,6 +38,8 @@
     /// Connections in the order of their turns; each with something that waits stands here once.
     turns: VecDeque<DownstreamId>,
     rounds: u64,
+    /// The last step took in no requests though some wait.
+    passed_over: bool,
 }
 
 impl InputQueue {
@@ -102,18 +104,21 @@
         std::mem::take(&mut self.completions)
     }
 
-    /// What the next step takes in: all that goes first, if anything does, else the next requests, by turns.
+    /// What the next step takes in: all that goes first, and if nothing does, or requests were passed over for it the
+    /// last time, the next requests, by turns.
     pub fn take(&mut self) -> Vec<Input> {
         let mut taken = self.take_first();
-        if !taken.is_empty() {
+        self.passed_over = !taken.is_empty() && !self.requests.is_empty() && !self.passed_over;
+        if self.passed_over {
             return taken;
         }
-        while taken.len() < REQUESTS_AT_ONCE
+        let most = taken.len() + REQUESTS_AT_ONCE;
+        while taken.len() < most
             && let Some(client) = self.turns.pop_front()
         {
             let Some(waiting) = self.requests.get_mut(&client) else { continue };
-            let most = IN_A_ROW.min(REQUESTS_AT_ONCE - taken.len());
-            for input in waiting.inputs.drain(..most.min(waiting.inputs.len())) {
+            let many = IN_A_ROW.min(most - taken.len()).min(waiting.inputs.len());
+            for input in waiting.inputs.drain(..many) {
                 let id = match &input {
                     Input::DownstreamSaid(_, message) if message.kind == Kind::SetUp => Some(message.id),
                     _ => None,
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -153,6 +153,12 @@
         })
     }
 
+    /// Whether the attempt that is out for a request is on this connection.
+    pub fn is_out(&self, id: Id, line: UpstreamId) -> bool {
+        let stage = self.requests.get(&id).map(|request| request.stage);
+        matches!(stage, Some(Stage::Open { attempt: Some(attempt), .. }) if attempt.line == line)
+    }
+
     /// An attempt begins; the first one counts, until it is known not to have run.
     pub fn begins(&mut self, now: Seconds, id: Id) {
         if let Some(request) = self.requests.get_mut(&id) {
--- a/crates/platform/tests/input_queue.rs
+++ b/crates/platform/tests/input_queue.rs
@@ -94,3 +94,18 @@
     queue.put(Input::DownstreamClosed(OWNER));
     assert!(matches!(queue.take()[..], [Input::DownstreamGone(OWNER)]));
 }
+
+#[test]
+fn requests_are_taken_in_however_much_goes_before_them() {
+    let mut queue = InputQueue::default();
+    queue.put(Input::DownstreamSaid(OWNER, set_up(1, "web")));
+    let mut steps = 0;
+    while !queue.is_empty() {
+        queue.put(Input::DownstreamSaid(OTHER, release(2, cause::NORMAL)));
+        steps += 1;
+        if queue.take().iter().any(|input| matches!(input, Input::DownstreamSaid(OWNER, _))) {
+            return;
+        }
+        assert!(steps < 3, "a flood of cancels holds up what is asked");
+    }
+}
