A test of what has not left in its time that fails without its line; one condition less

Of 21 guards taken out one at a time two went unseen: in one the connection's test ended it first (the test now has no task that stands), the other was a condition that changed nothing (removed).

--- a/crates/platform/src/pool/listed.rs
+++ b/crates/platform/src/pool/listed.rs
@@ -31,12 +31,9 @@
         }
     }
 
-    /// The whole list was told: who is not in it has gone. One that was never listed may yet be.
+    /// The whole list was told: who is not in it has gone. Tells who that is.
     pub fn only(&mut self, listed: &BTreeSet<MachineId>) -> Vec<MachineId> {
-        let away = |(machine, peer): &(&MachineId, &mut Peer)| {
-            !listed.contains(machine) && !peer.gone && !peer.address.is_empty()
-        };
-        let away = self.peers.iter_mut().filter(away);
+        let away = self.peers.iter_mut().filter(|(machine, peer)| !listed.contains(machine) && !peer.gone);
         away.map(|(&machine, peer)| {
             peer.gone = true;
             machine
--- a/crates/platform/tests/withheld.rs
+++ b/crates/platform/tests/withheld.rs
@@ -97,14 +97,13 @@
 
 #[test]
 fn what_has_not_left_in_its_time_has_not_run() {
-    let (mut p, line) = ready("slot");
-    p.client_says(OWNER, set_up(6, "slot"));
+    let mut p = Played::new(1);
+    let (line, _) = p.offered(set_up(6, "slot"));
     let (_, _, bytes) = offer(&p).expect("it is offered");
     p.step(Input::UpstreamFull(line, Id(6), bytes));
     p.wait(6.5, Some(true));
-    let told: Vec<_> = p.told(OWNER).into_iter().filter(|m| m.id == Id(6)).collect();
-    assert_eq!(told.len(), 1);
-    assert_eq!(told[0].cause(), Some(cause::FULL), "it must not run twice, and has not run at all");
+    let told: Vec<_> = p.told(OWNER).into_iter().map(|m| m.cause()).collect();
+    assert_eq!(told, [Some(cause::FULL)], "it must not run twice, and has not run at all");
 }
 
 #[test]
