What keeps the program from starting is a type; an owner who came back is no silent one

Seen in a run of crossings.rs beside a busy machine: the owner who came back by `at` was closed after 2 s as one that never said anything of use, since the claim (clients.rs) no longer counted as a proof; it does, with a test.

--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -12,7 +12,7 @@
 )]
 struct Arguments {
     #[command(subcommand)]
-    door: Option<Door>,
+    front: Option<Front>,
     #[command(flatten)]
     options: Option<tidespur_planner::Options>,
     /// Lines of the log as JSON
@@ -21,7 +21,7 @@
 }
 
 #[derive(clap::Subcommand)]
-enum Door {
+enum Front {
     /// Serve the operators' platform and nothing else; RELAY_CONFIG names the configuration
     Platform,
 }
@@ -29,8 +29,8 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     tidespur_net::logs(arguments.log_json);
-    let ran = match (arguments.door, arguments.options) {
-        (Some(Door::Platform), _) => tidespur_platform_net::run(),
+    let ran = match (arguments.front, arguments.options) {
+        (Some(Front::Platform), _) => tidespur_platform_net::run().map_err(|e| e.to_string()),
         (None, Some(options)) => tidespur_config::load_or_default(options.config.as_deref())
             .map_err(|e| e.to_string())
             .and_then(|config| smol::block_on(tidespur_planner::run(config, options))),
--- a/crates/platform-net/src/config.rs
+++ b/crates/platform-net/src/config.rs
@@ -1,5 +1,6 @@
 //! What the platform tells a scheduler at its start.
 
+use crate::StartError;
 use serde::Deserialize;
 use std::path::PathBuf;
 use tidespur_platform::discovery::{self, Delivery, WireEvent};
@@ -52,17 +53,17 @@
 ///
 /// # Errors
 /// The variable is not set.
-pub fn path() -> Result<PathBuf, String> {
-    std::env::var_os("RELAY_CONFIG").map(PathBuf::from).ok_or_else(|| "RELAY_CONFIG is not set".into())
+pub fn path() -> Result<PathBuf, StartError> {
+    std::env::var_os("RELAY_CONFIG").map(PathBuf::from).ok_or(StartError::NoConfig)
 }
 
 /// Reads a configuration.
 ///
 /// # Errors
 /// Says what can't be read, or worked with.
-pub fn read(text: &str) -> Result<Config, String> {
-    let wire: Wire = serde_json::from_str(text).map_err(|e| format!("the configuration: {e}"))?;
-    let site = wire.settings.site()?;
+pub fn read(text: &str) -> Result<Config, StartError> {
+    let wire: Wire = serde_json::from_str(text)?;
+    let site = wire.settings.site().map_err(StartError::Settings)?;
     let known = wire.known.notices.into_iter().map(|notice| discovery::read(&site, notice)).collect();
     let seed =
         u64::from_str_radix(&wire.seed, 16).unwrap_or_else(|_| tidespur_settings::words::hash(&wire.seed));
@@ -76,3 +77,13 @@
         site,
     })
 }
+
+/// Reads the configuration that the platform names.
+///
+/// # Errors
+/// Says what can't be read, or worked with.
+pub fn load() -> Result<Config, StartError> {
+    let path = path()?;
+    let text = std::fs::read_to_string(&path).map_err(|e| StartError::Unreadable(path, e))?;
+    read(&text)
+}
--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod config;
 mod discovery;
+mod error;
 mod run;
 pub mod socket;
 
+pub use error::StartError;
 pub use run::run;
--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -4,6 +4,7 @@
 mod downstream;
 mod upstream;
 
+use crate::StartError;
 use crate::config::{self, Config};
 use crate::discovery::{self, Address};
 use crate::socket::{Connection, Socket, TURN, Wrote};
@@ -51,15 +52,14 @@
 ///
 /// # Errors
 /// What keeps it from starting.
-pub fn run() -> Result<(), String> {
+pub fn run() -> Result<(), StartError> {
     // Before anything else: a signal without a handler ends the program.
-    let signals = Signals::new([Signal::Hup, Signal::Term]).map_err(|e| format!("signals: {e}"))?;
-    let path = config::path()?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let config = config::read(&text)?;
+    let signals = Signals::new([Signal::Hup, Signal::Term]).map_err(StartError::Signals)?;
+    let config = config::load()?;
     let executor = Rc::new(LocalExecutor::new());
     let run = Run::new(config, executor.clone(), signals)?;
-    smol::block_on(executor.run(run.live()))
+    smol::block_on(executor.run(run.live()));
+    Ok(())
 }
 
 impl Run {
@@ -67,10 +67,12 @@
         config: Config,
         executor: Rc<LocalExecutor<'static>>,
         signals: Signals,
-    ) -> Result<Rc<Self>, String> {
+    ) -> Result<Rc<Self>, StartError> {
         let limits = Limits::of(config.sockets);
         let this = Rc::new(Self {
-            gateway: RefCell::new(Gateway::new(config.site, limits, config.seed)?),
+            gateway: RefCell::new(
+                Gateway::new(config.site, limits, config.seed).map_err(StartError::Settings)?,
+            ),
             executor,
             listener: RefCell::default(),
             listening: RefCell::default(),
@@ -88,7 +90,8 @@
             over: Cell::new(None),
         });
         this.step(config.known.into_iter().map(Input::Delivered).collect());
-        let address: SocketAddr = config.listen.parse().map_err(|e| format!("{}: {e}", config.listen))?;
+        let listen = config.listen;
+        let address: SocketAddr = listen.parse().map_err(|_| StartError::Address(listen))?;
         this.listener.replace(Some(Rc::new(downstream::bind(address)?)));
         tracing::info!(scheduler = this.name, %address, sockets = config.sockets, "started");
         this.spawn(this.clone().turns());
@@ -104,7 +107,7 @@
     }
 
     /// Time goes on.
-    async fn live(self: Rc<Self>) -> Result<(), String> {
+    async fn live(self: Rc<Self>) {
         let mut reported = clock::now();
         while self.over.get().is_none() {
             let now = clock::now();
@@ -128,7 +131,6 @@
         }
         self.report();
         self.flush(self.over.get().unwrap_or_default()).await;
-        Ok(())
     }
 
     /// What came is taken in with all that came beside it: the reactor wakes readers before this comes round.
--- a/crates/platform-net/src/run/control.rs
+++ b/crates/platform-net/src/run/control.rs
@@ -55,12 +55,7 @@
     /// Reads the configuration again; until it can be read, what was read before holds.
     async fn reload(self: Rc<Self>) {
         for _ in 0..REREADS {
-            let read = config::path()
-                .and_then(|path| {
-                    std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))
-                })
-                .and_then(|text| config::read(&text));
-            match read {
+            match config::load() {
                 Ok(config) => {
                     if self.board.moves_to(&config.board) {
                         tracing::info!(
@@ -72,7 +67,7 @@
                     }
                     return;
                 }
-                Err(problem) => tracing::warn!(scheduler = self.name, problem, "the old settings hold"),
+                Err(problem) => tracing::warn!(scheduler = self.name, %problem, "the old settings hold"),
             }
             clock::sleep(REREAD).await;
         }
--- a/crates/platform-net/src/run/downstream.rs
+++ b/crates/platform-net/src/run/downstream.rs
@@ -27,7 +27,7 @@
     End,
 }
 
-pub(super) fn bind(address: SocketAddr) -> Result<Async<TcpListener>, String> {
+pub(super) fn bind(address: SocketAddr) -> Result<Async<TcpListener>, StartError> {
     let mut tries = 0;
     loop {
         match Async::<TcpListener>::bind(address) {
@@ -38,7 +38,7 @@
                 tries += 1;
                 std::thread::sleep(REBIND);
             }
-            made => return made.map_err(|e| format!("{address}: {e}")),
+            made => return made.map_err(|e| StartError::Bind(address, e)),
         }
     }
 }
--- a/crates/platform/src/gateway/clients.rs
+++ b/crates/platform/src/gateway/clients.rs
@@ -158,6 +158,7 @@
                 // anybody with an id could draw its end to himself.
                 Some((by, Stage::Standing { .. })) if ask::is_handed(&message) => {
                     if by == known && !there {
+                        self.downstreams.proves(now, client);
                         self.downstreams.count_standing(client, true);
                         self.table.reached_by(id, client, self.downstreams.from(client));
                     }
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -169,3 +169,15 @@
     });
     assert!(closed);
 }
+
+#[test]
+fn an_owner_who_came_back_is_not_closed_as_silent() {
+    let mut p = Played::new(1);
+    let (line, _) = p.standing(5, "web");
+    p.step(Input::DownstreamClosed(OWNER));
+    p.client_says(OTHER, handed(5, "s-1"));
+    p.wait(2.5, None);
+    assert!(p.closed_clients().is_empty());
+    p.machine_says(line, release(5, cause::NORMAL));
+    assert_eq!(p.told(OTHER), [release(5, cause::NORMAL)]);
+}
