--- a/crates/platform-net/src/discovery.rs
+++ b/crates/platform-net/src/discovery.rs
@@ -82,7 +82,7 @@
         match events.line(&line) {
             Ok(Some(data)) => take(&data),
             Ok(None) => {}
-            Err(problem) => return problem,
+            Err(problem) => return problem.to_string(),
         }
     }
 }
--- a/crates/platform-net/src/run/control.rs
+++ b/crates/platform-net/src/run/control.rs
@@ -30,7 +30,7 @@
             let event = tidespur_platform::discovery::event(that.gateway.borrow().site(), data);
             match event {
                 Ok(event) => that.step(vec![Input::Delivered(event)]),
-                Err(problem) => tracing::warn!(scheduler = that.name, problem),
+                Err(problem) => tracing::warn!(scheduler = that.name, %problem),
             }
         };
         self.spawn(discovery::follow(self.board.clone(), delivered, take));
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -10,6 +10,29 @@
 /// Nor is a task that is to run longer than this.
 const LIFE_MOST: Seconds = 1e7;
 
+/// Why a set-up can't be used. Its owner is told so by cause 100; the log names the field.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AskError {
+    /// A field is not there.
+    #[error("{0} is missing or no text; whoever sent it speaks another edition of the protocol")]
+    Missing(&'static str),
+    /// A class that the settings do not have.
+    #[error("a class that is not known; compare the owner's classes with the settings")]
+    Class,
+    /// A tenant that the settings do not have.
+    #[error("a tenant that is not known; compare the owner's tenants with the settings")]
+    Tenant,
+    /// A field holds no number, or no finite one.
+    #[error("{0}: no finite number; look at the owner's program")]
+    Number(&'static str),
+    /// A number that nothing here can serve.
+    #[error("{0}: out of range; no machine of the settings admits so much, or no owner waits so long")]
+    Range(&'static str),
+    /// A name without a letter.
+    #[error("an empty name; look at the owner's program")]
+    Empty,
+}
+
 /// What a set-up asks for.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -23,28 +46,27 @@
     text.split(';').filter_map(|field| field.split_once(':')).map(|(k, v)| (k.trim(), v.trim())).collect()
 }
 
-fn number(what: &str, text: &str) -> Result<f64, String> {
-    let number: f64 = text.parse().map_err(|_| format!("{what}: no number"))?;
-    if number.is_finite() { Ok(number) } else { Err(format!("{what}: not finite")) }
+fn number(what: &'static str, text: &str) -> Result<f64, AskError> {
+    text.parse().ok().filter(|number: &f64| number.is_finite()).ok_or(AskError::Number(what))
 }
 
 /// Reads a set-up that came at `now`.
 ///
 /// # Errors
 /// Names the field that can't be used.
-pub fn read(site: &Site, now: Seconds, message: &Message) -> Result<Ask, String> {
-    let text = |code, what: &str| message.text(code).ok_or_else(|| format!("{what} is missing or no text"));
+pub fn read(site: &Site, now: Seconds, message: &Message) -> Result<Ask, AskError> {
+    let text = |code, what| message.text(code).ok_or(AskError::Missing(what));
     let class = text(code::CLASS, "the class")?;
-    let class = site.classes.iter().position(|name| name == class).ok_or("a class that is not known")?;
+    let class = site.classes.iter().position(|name| name == class).ok_or(AskError::Class)?;
     let tenant = match (site.tenants.is_empty(), text(code::TENANT, "the tenant")) {
         (true, _) => 0,
         (false, tenant) => {
             let tenant = tenant?;
-            site.tenants.iter().position(|name| name == tenant).ok_or("a tenant that is not known")?
+            site.tenants.iter().position(|name| name == tenant).ok_or(AskError::Tenant)?
         }
     };
     let asks = fields(text(code::ASKS, "what the task asks for")?);
-    let field = |name: &str| asks.get(name).copied().ok_or_else(|| format!("{name} is missing"));
+    let field = |name: &'static str| asks.get(name).copied().ok_or(AskError::Missing(name));
     let most = |of: fn(&tidespur_policy::interface::Kind) -> f64, admit: f64| {
         site.settings.kinds.iter().map(of).fold(0.0, f64::max) * admit.max(1.0)
     };
@@ -52,22 +74,22 @@
     let memory = number("memory", field("memory")?)?;
     // No machine admits more, however empty: waiting would not help.
     if !(cores > 0.0 && cores <= most(|kind| kind.cores, site.settings.admit_cores)) {
-        return Err("cores: out of range".into());
+        return Err(AskError::Range("cores"));
     }
     if !(memory >= 0.0 && memory <= most(|kind| kind.memory, site.settings.admit_memory)) {
-        return Err("memory: out of range".into());
+        return Err(AskError::Range("memory"));
     }
     let service = field("service")?;
     if service.is_empty() || text(code::NAME, "the task's name")?.is_empty() {
-        return Err("an empty name".into());
+        return Err(AskError::Empty);
     }
     let life = match message.text(code::HINT) {
-        None if message.get(code::HINT).is_some() => return Err("the hint: no text".into()),
+        None if message.get(code::HINT).is_some() => return Err(AskError::Missing("the hint")),
         None => None,
         Some(hint) => Some(number("the hint", hint)? / 1000.0),
     };
     if life.is_some_and(|life| !(0.0..=LIFE_MOST).contains(&life)) {
-        return Err("the hint: out of range".into());
+        return Err(AskError::Range("the hint"));
     }
     let at = asks.get("at").map(|at| (*at).to_owned());
     let deadline = match (text(code::WAIT, "the wait"), &at) {
@@ -76,7 +98,7 @@
         (Ok(wait), None) => {
             let wait = number("the wait", wait)? / 1000.0;
             if !(wait > 0.0 && wait <= WAIT_MOST) {
-                return Err("the wait: out of range".into());
+                return Err(AskError::Range("the wait"));
             }
             now + wait
         }
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -7,6 +7,20 @@
 /// One event may hold so many bytes.
 const EVENT_MOST: usize = 1 << 20;
 
+/// Why what the discovery stream told can't be used. The list stays as it was, and the stream is asked again.
+#[derive(Debug, thiserror::Error)]
+pub enum DiscoveryError {
+    /// An event that is none.
+    #[error("the discovery stream tells what can't be read: {0}; look at the notice board's edition")]
+    Malformed(#[from] serde_json::Error),
+    /// Bytes that are no text.
+    #[error("the discovery stream is no text: {0}; look at who listens at its address")]
+    NoText(#[from] std::str::Utf8Error),
+    /// An event that does not end.
+    #[error("the discovery stream tells an event without end; look at the notice board")]
+    Endless,
+}
+
 /// A line of the list, with the address that only sockets need.
 #[derive(Clone, Debug)]
 pub struct Listed {
@@ -72,9 +86,8 @@
 ///
 /// # Errors
 /// Says what can't be read; such an event counts as none.
-pub fn event(site: &Site, data: &str) -> Result<Delivery, String> {
-    let wire: WireEvent = serde_json::from_str(data).map_err(|e| format!("the notice board: {e}"))?;
-    Ok(read(site, wire))
+pub fn event(site: &Site, data: &str) -> Result<Delivery, DiscoveryError> {
+    Ok(read(site, serde_json::from_str(data)?))
 }
 
 /// Puts names to numbers and states to standings.
@@ -116,8 +129,8 @@
     ///
     /// # Errors
     /// An event that is too long or no text; the stream is of no further use.
-    pub fn line(&mut self, line: &[u8]) -> Result<Option<String>, String> {
-        let line = std::str::from_utf8(line).map_err(|e| format!("the notice board: {e}"))?;
+    pub fn line(&mut self, line: &[u8]) -> Result<Option<String>, DiscoveryError> {
+        let line = std::str::from_utf8(line)?;
         let line = line.strip_suffix('\r').unwrap_or(line);
         if line.is_empty() {
             let data = std::mem::take(&mut self.data);
@@ -129,7 +142,7 @@
             }
             self.data.push_str(data.strip_prefix(' ').unwrap_or(data));
             if self.data.len() > EVENT_MOST {
-                return Err("the notice board: an event without end".into());
+                return Err(DiscoveryError::Endless);
             }
         }
         // Numbers stand in the data too; comments and other fields mean nothing.
--- a/crates/platform/src/gateway/machines.rs
+++ b/crates/platform/src/gateway/machines.rs
@@ -100,7 +100,7 @@
                 out.push(Output::Upstream(PoolAction::Write(line, tested.bytes())));
             }
             (Kind::Tested | Kind::Progress | Kind::Heard, _) => {}
-            // A second copy, an answer under another's id, or one that comes after it was given up.
+            // A second copy, an answer under another's id, or one that comes after it was cancelled or timed out.
             _ => self.counts.strays += 1,
         }
     }
--- a/crates/platform/src/gateway/requests.rs
+++ b/crates/platform/src/gateway/requests.rs
@@ -71,7 +71,7 @@
         }
         let mut ask = match ask::read(&self.site, now, &message) {
             Ok(ask) => ask,
-            Err(problem) => return self.turn_away(now, client, id, &problem, out),
+            Err(problem) => return self.turn_away(now, client, id, problem, out),
         };
         let from = self.downstreams.from(client);
         let task = self.table.number();
@@ -132,7 +132,7 @@
         now: Seconds,
         client: DownstreamId,
         id: Id,
-        problem: &str,
+        problem: ask::AskError,
         out: &mut Vec<Output>,
     ) {
         self.counts.useless += 1;
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -23,7 +23,7 @@
 const FRESH: Seconds = 0.5;
 /// A machine that holds a task of ours and was silent for this long is tested.
 const TEST_AFTER: Seconds = 1.0;
-/// A test without an answer for this long: the connection is given up.
+/// A test without an answer for this long: the connection is closed.
 const TEST_FOR: Seconds = 1.5;
 /// A machine silent for this long that can't be dialled either has failed, and what stood there has ended. The
 /// platform allows 8 s from the end, which came after the last word: this leaves time for a late tick. Any sooner, and
@@ -31,7 +31,7 @@
 /// a machine that vanished hear of it so much later.
 const FAILED_AFTER: Seconds = 7.4;
 /// Where there is no room for a connection to each machine that holds a task of ours, one without is visited after this
-/// silence, and one that was kept for this long gives way to it. Guards against machines that count as lost only
+/// silence, and one that was kept for this long gives way to it. Guards against machines that count as failed only
 /// because nobody could call; costs a handshake a visit.
 const VISIT: Seconds = 2.0;
 const KEPT: Seconds = 1.0;
@@ -204,7 +204,7 @@
         self.upstreams.len() + self.half_closed.len()
     }
 
-    /// The connections to a machine that are not finished, those that are being dialled too.
+    /// The connections to a machine that are not half-closed, those that are being dialled too.
     fn to(&self, machine: MachineId) -> impl Iterator<Item = (UpstreamId, &Upstream)> {
         let lines = self.peers.get(&machine).into_iter().flat_map(|peer| &peer.upstreams);
         lines.filter_map(|&id| {
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -17,7 +17,7 @@
     pub number: u32,
     /// The connection that carries it.
     pub line: UpstreamId,
-    /// When it is given up.
+    /// When it times out.
     pub until: Seconds,
 }
 
