Programs in tests listen on addresses that no other test can get

Cause: a port of 127.0.0.1 that was picked and let go may be given to another test's connection or listener before the program binds it (common/mod.rs start_with). Each program now has a loopback address of its own.

--- a/crates/planner/tests/crossings.rs
+++ b/crates/planner/tests/crossings.rs
@@ -7,7 +7,7 @@
 use common::*;
 use machine::*;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
 fn refused(id: u64) -> (u8, u64, Vec<u8>) {
@@ -132,8 +132,7 @@
 #[test]
 fn with_its_descriptors_full_of_idle_clients_and_discovery_down_it_serves_and_follows_again() {
     let mut machine = Machine::new();
-    let (board_in, board_at) = listen();
-    drop(board_in);
+    let board_at = own_address();
     let few = |config: String| config.replace(r#""sockets":256"#, r#""sockets":64"#);
     let scheduler = Scheduler::start_with("full", board_at, &event(1, true, "s-1", machine.at), few);
     let mut owner = greeted(&scheduler);
@@ -165,15 +164,12 @@
 #[test]
 fn an_address_that_the_one_before_still_holds_is_waited_for() {
     let (machine, (_board, board_at)) = (Machine::new(), listen());
+    let at = own_address();
+    let before = TcpListener::bind(at).unwrap();
     let known = event(1, true, "s-1", machine.at);
-    let before = std::cell::RefCell::new(None);
-    let scheduler = Scheduler::start_with("taken", board_at, &known, |config| {
-        let at: SocketAddr =
-            config.split("\"listen\":\"").nth(1).unwrap().split('"').next().unwrap().parse().unwrap();
-        before.replace(Some(TcpListener::bind(at).unwrap()));
-        config
-    });
+    let mut scheduler = Scheduler::start_with("taken", board_at, &known, |_| config(at, board_at, &known));
     scheduler.tells("waits for its address");
-    drop(before.take());
+    drop(before);
+    scheduler.at = at;
     let _ = greeted(&scheduler);
 }
