The ramp of cold machines holds over restarts: a start counts as an offer to each

Seen: the proof for the fleet's ramp left out a scheduler that restarts; it forgets its last offers. Provoked by the new test a_fleet_that_restarts_keeps_the_ramp (one after the other at random, once all at once right after the first offers): it failed on the code before. Lines at fault: bears (choice/bars.rs) knew no offer of a scheduler's predecessor. Now the pause counts from the start too, so the pauses of an ordinal hold over its restarts.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -35,6 +35,9 @@
 const KEPT_FOR: Seconds = 3.0; // and a machine is trusted to keep one for this long after its last task.
 const ASK_AGAIN: Seconds = 0.8; // First pause before asking for the list again, drawn from half to whole.
 
+/// A class and a tenant.
+type Whose = (usize, usize);
+
 #[derive(Clone, Copy, PartialEq, Debug, Default)]
 enum State {
     #[default]
@@ -84,7 +87,7 @@
     used: [Mean; 2],  // Use of what is asked, where reports tell.
     /// What failed, for one class and tenant or for all: how often in a row, until when it bars. After that
     /// pause, which doubles, one task at a time is let through until one succeeds (a circuit breaker).
-    troubles: BTreeMap<Option<(usize, usize)>, (i32, Seconds)>,
+    troubles: BTreeMap<Option<Whose>, (i32, Seconds)>,
     offered_at: Seconds, // The last offer while it was cold.
     report_at: Seconds,
     probe_at: Seconds,
@@ -105,7 +108,7 @@
 #[derive(Debug, Default)]
 struct Look {
     /// Machines that nothing bars for a class and tenant whatever the task, in order of ids.
-    open: BTreeMap<(usize, usize), Vec<MachineId>>,
+    open: BTreeMap<Whose, Vec<MachineId>>,
     /// Cores and memory that no machine takes, by class, tenant and, where it counts, service.
     full: BTreeMap<(usize, usize, ServiceId), Vec<[f64; 2]>>,
     /// Machines that were looked at, for one task or for many.
@@ -144,6 +147,8 @@
     starts: [Mean; 2],
     /// Offers that may yet go to cold machines, where there are any, and when that was counted.
     cold_offers: (Option<f64>, Seconds),
+    /// The first step. Until then another may have had our part of what cold machines bear, and used it.
+    began: Seconds,
     spare_at: Seconds,
     need: [f64; 2],
     looked: u64,
@@ -175,6 +180,7 @@
             deviation: Mean { value: ANSWER / 2.0, seen: GUESSED },
             starts: [1.0, SETUP].map(|setup| Mean { value: START * setup, seen: GUESSED }),
             cold_offers: (None, 0.0),
+            began: f64::INFINITY,
             spare_at: 0.0,
             need: [0.0; 2],
             looked: 0,
@@ -184,6 +190,7 @@
 
     /// Takes in `events`, all of time `now`, and appends what is to be done.
     pub fn step(&mut self, now: Seconds, events: Vec<Event>, out: &mut Vec<Action>) {
+        self.began = self.began.min(now);
         for event in events {
             self.observe(now, event);
         }
--- a/crates/policy/src/choice/bars.rs
+++ b/crates/policy/src/choice/bars.rs
@@ -32,7 +32,7 @@
         let turn = (now / pause) as u64 % groups + id % groups + self.settings.ordinal as u64;
         let left = self.cold_offers.0.is_none_or(|left| left >= 1.0);
         !cold(machine, safety, now)
-            || left && turn.is_multiple_of(groups) && now >= machine.offered_at + pause
+            || left && turn.is_multiple_of(groups) && now >= machine.offered_at.max(self.began) + pause
     }
 
     /// Until when this task may be sent, were a machine found.
--- a/crates/policy/src/choice/machine.rs
+++ b/crates/policy/src/choice/machine.rs
@@ -6,20 +6,14 @@
 const VIEW_LEAST: f64 = 0.1; // Where less than this share of a machine is asked for, use can't be told.
 
 impl Machine {
-    pub(super) fn strike(
-        &mut self,
-        now: Seconds,
-        whose: Option<(usize, usize)>,
-        first: Seconds,
-        most: Seconds,
-    ) {
+    pub(super) fn strike(&mut self, now: Seconds, whose: Option<Whose>, first: Seconds, most: Seconds) {
         let (strikes, until) = self.troubles.entry(whose).or_default();
         *until = now + doubled(first, *strikes, most);
         *strikes = (*strikes + 1).min(STRIKES_MOST);
     }
 
     /// What struck it last was not its fault.
-    pub(super) fn acquit(&mut self, whose: Option<(usize, usize)>) {
+    pub(super) fn acquit(&mut self, whose: Option<Whose>) {
         if let Some(trouble) = self.troubles.get_mut(&whose) {
             *trouble = (trouble.0 - 1, 0.0);
         }
@@ -27,7 +21,7 @@
     }
 
     /// An answer to this class and tenant takes back half of what stands against them.
-    pub(super) fn relieve(&mut self, whose: (usize, usize)) {
+    pub(super) fn relieve(&mut self, whose: Whose) {
         for (_, trouble) in self.troubles.iter_mut().filter(|(struck, _)| struck.is_none_or(|s| s == whose)) {
             *trouble = (trouble.0 / 2, 0.0);
         }
@@ -37,7 +31,7 @@
     /// Whether a task of this class and tenant may be sent. What struck several classes or tenants strikes
     /// all that share what these have in common: guards against a tenant that is throttled, a class that
     /// fails, a machine that hangs, and mixtures. Harm: two troubles at once look like one that strikes all.
-    pub(super) fn open(&self, now: Seconds, whose: (usize, usize)) -> bool {
+    pub(super) fn open(&self, now: Seconds, whose: Whose) -> bool {
         let bars = |after: Seconds| {
             let (mut first, mut same) = (None, (true, true));
             for (struck, _) in self.troubles.iter().filter(|(_, trouble)| trouble.1 > after) {
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -8,8 +8,9 @@
 use tidespur_policy::interface::*;
 
 /// Plays this many schedulers under more tasks than cold machines bear, for a while; the list is the same for all, the
-/// moments at which they act are not. Gives the most offers that a machine got in any window, and what is allowed.
-fn play(schedulers: usize, seed: u64) -> (usize, f64, usize) {
+/// moments at which they act are not. With `restarts`, one after the other ends and starts anew, and once all do.
+/// Gives the most offers that a machine got in any window, what is allowed, and the offers in all.
+fn play(schedulers: usize, seed: u64, restarts: bool) -> (usize, f64, usize) {
     let mut rng = rand_pcg::Pcg32::seed_from_u64(seed);
     let mut set = settings(vec![class(Effect::Safe), class(Effect::Unsafe)]);
     set.schedulers = schedulers;
@@ -20,20 +21,31 @@
     let list: Vec<Entry> =
         (0..machines).map(|m| Entry { up_since: Some(up[m as usize]), ..entry(m * 7_919 + seed) }).collect();
     let bears = set.safety.cold_bears;
-    let mut fleet: Vec<(Scheduler, Vec<Event>)> = (0..schedulers)
-        .map(|ordinal| {
-            let set = Settings { ordinal, ..set.clone() };
-            let scheduler = Scheduler::new(set, rng.random()).expect("settings are sound");
-            (scheduler, vec![Event::ListWhole(list.clone())])
-        })
-        .collect();
+    let start = |ordinal, seed| {
+        let set = Settings { ordinal, ..set.clone() };
+        let scheduler = Scheduler::new(set, seed).expect("settings are sound");
+        (scheduler, vec![Event::ListWhole(list.clone())])
+    };
+    let mut fleet: Vec<(Scheduler, Vec<Event>)> = (0..schedulers).map(|n| start(n, rng.random())).collect();
     let mut sends: BTreeMap<MachineId, Vec<Seconds>> = BTreeMap::new();
     let mut attempts: BTreeMap<TaskId, u32> = BTreeMap::new();
     let (mut now, mut next) = (1001.0, 0);
     let quiet = now + if rng.random_bool(0.5) { rng.random_range(1.0..5.0) } else { 0.0 };
+    // Right after the first offer: all that a fleet may have used up is forgotten then.
+    let mut all_at_once = restarts;
     while now < 1008.0 {
         now += rng.random_range(0.0..0.1) / schedulers as f64;
-        let (scheduler, events) = &mut fleet[rng.random_range(0..schedulers)];
+        let turn = rng.random_range(0..schedulers);
+        if restarts && rng.random_bool(0.02) {
+            fleet[turn] = start(turn, rng.random());
+        }
+        if all_at_once
+            && sends.values().map(Vec::len).sum::<usize>() >= schedulers.min(set.safety.cold_bears as usize)
+        {
+            all_at_once = false;
+            fleet = (0..schedulers).map(|n| start(n, rng.random())).collect();
+        }
+        let (scheduler, events) = &mut fleet[turn];
         // What a scheduler may save while it has nothing to place must not come out of all of them at once.
         for _ in 0..if now < quiet { 0 } else { rng.random_range(0..4) } {
             next += 1;
@@ -63,10 +75,10 @@
     (most, bears + 2.0 * bears.sqrt() + 2.0, sends.values().map(Vec::len).sum())
 }
 
-fn plays(schedulers: usize) {
+fn plays(schedulers: usize, restarts: bool) {
     let (mut highest, mut offers) = (0.0f64, 0);
     for seed in 0..150 {
-        let (most, allowed, sent) = play(schedulers, seed);
+        let (most, allowed, sent) = play(schedulers, seed, restarts);
         assert!(most as f64 <= allowed, "{schedulers} schedulers, seed {seed}: {most} of {allowed:.1}");
         highest = highest.max(most as f64 / allowed);
         offers += sent;
@@ -77,20 +89,27 @@
 
 #[test]
 fn one_scheduler_keeps_the_ramp() {
-    plays(1);
+    plays(1, false);
 }
 
 #[test]
 fn sixteen_schedulers_keep_the_ramp_together() {
-    plays(16);
+    plays(16, false);
 }
 
 #[test]
 fn twenty_schedulers_keep_the_ramp_together() {
-    plays(20);
+    plays(20, false);
 }
 
 #[test]
 fn thirty_schedulers_keep_the_ramp_together() {
-    plays(30);
+    plays(30, false);
+}
+
+#[test]
+fn a_fleet_that_restarts_keeps_the_ramp() {
+    for schedulers in [1, 3, 16, 30] {
+        plays(schedulers, true);
+    }
 }
