A connection that its machine closed while the loop stood still carries no set-up

Seen: the crossing listed as not provoked (a machine's idle close against a set-up) was forced on a real connection: the program is held for 0.6 s, the machine says a word and closes, a set-up comes. The set-up of an unsafe class was written to the closed connection and failed ('failed: 1, broken: 1' in the counters). Lines at fault: Pool::offer trusts heard_at, which is when a word was read, not when it came. Now the gateway notes that a step came more than 0.2 s after the one before, and a connection heard right after that is looked at before it carries a set-up. And an open connection that has ended under a set-up which never left counts against no machine (Withdrawn, was Unsent, which made it cold and barred); the next dial tells whether it is there. Ruled out: a look before each set-up on an idle connection. Both tests fail without their lines.

--- a/crates/planner/tests/common/machine.rs
+++ b/crates/planner/tests/common/machine.rs
@@ -13,7 +13,8 @@
 pub struct Machine {
     listener: TcpListener,
     pub at: SocketAddr,
-    connections: Vec<(TcpStream, Vec<u8>)>,
+    /// Those it has closed are none.
+    connections: Vec<(Option<TcpStream>, Vec<u8>)>,
     heard: VecDeque<(usize, u8, u64)>,
 }
 
@@ -27,9 +28,10 @@
     fn look(&mut self) {
         while let Ok((stream, _)) = self.listener.accept() {
             stream.set_nonblocking(true).unwrap();
-            self.connections.push((stream, Vec::new()));
+            self.connections.push((Some(stream), Vec::new()));
         }
         for (n, (stream, bytes)) in self.connections.iter_mut().enumerate() {
+            let Some(stream) = stream else { continue };
             let mut buffer = [0; 16 * 1024];
             while let Ok(read) = stream.read(&mut buffer)
                 && read > 0
@@ -74,12 +76,17 @@
     }
 
     pub fn says(&mut self, connection: usize, bytes: &[u8]) {
-        match self.connections[connection].0.write_all(bytes) {
+        match self.connections[connection].0.as_mut().expect("it is open").write_all(bytes) {
             Err(e) if e.kind() == ErrorKind::WouldBlock => panic!("it takes nothing"),
             other => other.unwrap(),
         }
     }
 
+    /// Closes one of its connections, as it does with one that is idle.
+    pub fn closes(&mut self, connection: usize) {
+        self.connections[connection].0 = None;
+    }
+
     pub fn accepts(&mut self, connection: usize, id: u64) {
         self.says(connection, &message(9, id, &[(225, b"own")]));
     }
--- a/crates/planner/tests/crossings.rs
+++ b/crates/planner/tests/crossings.rs
@@ -108,6 +108,31 @@
     assert_eq!(next(&mut second).0, 9);
 }
 
+#[test]
+fn an_idle_connection_closed_while_the_loop_stood_still_carries_no_set_up() {
+    let (mut machine, (_board, board_at)) = (Machine::new(), listen());
+    // What may have run could not go out again, and would fail.
+    let unsafe_work = |config: String| config.replace(r#""safe""#, r#""unsafe""#);
+    let known = event(1, true, "s-1", machine.at);
+    let scheduler = Scheduler::start_with("idle-close", board_at, &known, unsafe_work);
+    let mut owner = greeted(&scheduler);
+    owner.write_all(&set_up(5)).unwrap();
+    let (connection, _) = machine.next_set_up();
+    machine.accepts(connection, 5);
+    assert_eq!(next(&mut owner).0, 9);
+    scheduler.held(|| {
+        // A word on it makes the connection one that carries a set-up at once; then it is idle for longer than that lasts.
+        machine.says(connection, &message(6, 5, &[]));
+        std::thread::sleep(Duration::from_millis(600));
+        machine.closes(connection);
+        owner.write_all(&set_up(6)).unwrap();
+    });
+    let (connection, id) = machine.next_set_up();
+    assert_eq!(id, 6);
+    machine.accepts(connection, 6);
+    assert_eq!(next(&mut owner), (9, 6, vec![225, 0, 3, b'o', b'w', b'n']));
+}
+
 #[test]
 fn a_set_up_behind_a_dial_is_taken_back_when_its_machine_drains() {
     let ((board_in, board_at), mut other) = (listen(), Machine::new());
--- a/crates/platform-net/src/run.rs
+++ b/crates/platform-net/src/run.rs
@@ -194,20 +194,17 @@
             Output::CloseDownstream(client) => self.close_client(client),
             Output::Look(client) => {
                 let seen = self.look(client);
-                inputs.extend(self.queue.borrow_mut().take_first());
-                inputs.push(Input::Looked(client, seen));
+                self.after_all(inputs, Input::Looked(client, seen));
             }
-            Output::LookUpstream(upstream) => {
+            Output::Upstream(PoolAction::Look(upstream)) => {
                 self.look_upstream(upstream);
-                inputs.extend(self.queue.borrow_mut().take_first());
-                inputs.push(Input::UpstreamLooked(upstream));
+                self.after_all(inputs, Input::UpstreamLooked(upstream));
             }
             Output::Upstream(action) => inputs.extend(self.on_upstream(action)),
             Output::Log(line) => tracing::info!(scheduler = self.name, "{line}"),
             Output::StopListening => {
                 self.stop_listening();
-                inputs.extend(self.queue.borrow_mut().take_first());
-                inputs.push(Input::Unlistened);
+                self.after_all(inputs, Input::Unlistened);
             }
             Output::End(within) => {
                 self.over.set(Some(within));
@@ -216,6 +213,12 @@
         }
     }
 
+    /// Answers an output, after all that came until now and goes first.
+    fn after_all(&self, inputs: &mut Vec<Input>, answer: Input) {
+        inputs.extend(self.queue.borrow_mut().take_first());
+        inputs.push(answer);
+    }
+
     /// Puts what was read last to the messages of a connection.
     fn decode(
         &self,
--- a/crates/platform-net/src/run/upstream.rs
+++ b/crates/platform-net/src/run/upstream.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// A look reads so often at most. A machine says little at a time; one that floods ends as any that can't be used.
+const LOOK_READS: usize = 4;
+
 /// A connection to a machine.
 pub(super) enum Upstream {
     /// Being dialled by this task: dropped with it, so that a dial given up holds no descriptor.
@@ -46,7 +49,7 @@
                 None
             }
             // The gateway keeps these to itself.
-            PoolAction::Due(..) => None,
+            PoolAction::Due(..) | PoolAction::Look(_) => None,
         }
     }
 
@@ -141,14 +144,14 @@
         }
     }
 
-    /// Reads once what a machine has said, and puts it into the queue.
-    fn hear_now(&self, upstream: UpstreamId, connection: &Connection) {
+    /// Reads once what a machine has said, and puts it into the queue; `false`: there was nothing.
+    fn hear_now(&self, upstream: UpstreamId, connection: &Connection) -> bool {
         let read = match connection.socket.read_now(&self.buffer) {
-            Ok(None) => return,
+            Ok(None) => return false,
             Ok(Some(0)) | Err(_) => {
                 connection.ended.set(true);
                 self.put(Input::UpstreamEnded(upstream));
-                return;
+                return true;
             }
             Ok(Some(read)) => read,
         };
@@ -158,16 +161,19 @@
             connection.ended.set(matches!(input, Input::UpstreamMalformed(_)));
             self.put(input);
         }
+        true
     }
 
-    /// Reads what a machine has said by now, once at most: an answer is at the front of what lies unread.
+    /// Reads what a machine has said by now, as far as [`LOOK_READS`] go.
     pub(super) fn look_upstream(&self, upstream: UpstreamId) {
         let connection = match self.upstreams.borrow().get(&upstream) {
             Some(Upstream::Open(connection)) => connection.clone(),
             Some(Upstream::Dialled(_)) | None => return,
         };
-        if !connection.ended.get() {
-            self.hear_now(upstream, &connection);
+        for _ in 0..LOOK_READS {
+            if connection.ended.get() || !self.hear_now(upstream, &connection) {
+                return;
+            }
         }
     }
 }
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -41,6 +41,9 @@
 /// Time goes on at least this often.
 const TICK: Seconds = 0.1;
 
+/// A step this long after the one before: the loop stood still, as with a tick alone it comes sooner.
+const STALL: Seconds = 2.0 * TICK;
+
 /// The gateway of one scheduler.
 pub struct Gateway {
     site: Site,
@@ -60,6 +63,7 @@
     claims: Vec<Claim>,
     leaving: Option<Leaving>,
     ticked: Seconds,
+    stepped: Seconds,
     pressure: Pressure,
     counts: Counts,
 }
@@ -87,6 +91,7 @@
             claims: Vec::new(),
             leaving: None,
             ticked: 0.0,
+            stepped: 0.0,
             pressure,
             counts: Counts::default(),
             site,
@@ -128,6 +133,10 @@
 
     /// Takes in what came at `now`, and tells what is to be done.
     pub fn step(&mut self, now: Seconds, inputs: impl IntoIterator<Item = Input>, out: &mut Vec<Output>) {
+        if now - self.stepped > STALL {
+            self.pool.stalled(now);
+        }
+        self.stepped = now;
         for input in inputs {
             self.take(now, input, out);
         }
--- a/crates/platform/src/gateway/attempts.rs
+++ b/crates/platform/src/gateway/attempts.rs
@@ -50,7 +50,7 @@
             _ => None,
         };
         let lines: BTreeSet<UpstreamId> = self.table.late(now).into_iter().filter_map(of).collect();
-        out.extend(lines.into_iter().map(Output::LookUpstream));
+        out.extend(lines.into_iter().map(|line| Output::Upstream(PoolAction::Look(line))));
     }
 
     /// What a machine had said on a connection was taken in: what is over now is over.
--- a/crates/platform/src/gateway/io.rs
+++ b/crates/platform/src/gateway/io.rs
@@ -72,7 +72,7 @@
     UpstreamSaid(UpstreamId, Message),
     /// It sent what can't be read.
     UpstreamMalformed(UpstreamId),
-    /// Answers [`Output::LookUpstream`], after what the machine has said.
+    /// Answers [`PoolAction::Look`], after what the machine has said.
     UpstreamLooked(UpstreamId),
     /// The connection ended.
     UpstreamEnded(UpstreamId),
@@ -107,8 +107,6 @@
     Look(DownstreamId),
     /// Something about a connection to a machine.
     Upstream(PoolAction),
-    /// Read what a machine has said by now; [`Input::UpstreamLooked`] answers.
-    LookUpstream(UpstreamId),
     /// A line of the log.
     Log(String),
     /// Accept who has connected, and then no more; [`Input::Unlistened`] answers.
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -21,6 +21,10 @@
 /// never more than half of the time after which machines close idle connections, against a set-up that crosses such
 /// a close; costs a handshake.
 const FRESH: Seconds = 0.5;
+/// What was heard by this long after the loop had stood still may have come long before, and a close behind it may lie
+/// unread: such a connection is looked at before it carries a set-up. At other times what is heard has just come, and the
+/// machine's idle time is not over; a look at each would cost a tenth of all placements under full load.
+const HEARD_LATE: Seconds = 0.05;
 /// A machine that holds a task of ours and was silent for this long is tested.
 const TEST_AFTER: Seconds = 1.0;
 /// A test without an answer for this long: the connection is closed.
@@ -59,6 +63,8 @@
     Write(UpstreamId, Vec<u8>),
     /// This set-up could leave now: [`Pool::leaves`] follows once its client is known to be there still.
     Due(UpstreamId, Id),
+    /// Read what a machine has said by now; `UpstreamLooked` answers, after that.
+    Look(UpstreamId),
     /// Write this set-up; what did not leave of it is told of this one.
     Offer(UpstreamId, Id, Vec<u8>),
     /// Write no more, and go on reading until the machine ends it too; `Ended` answers.
@@ -72,7 +78,7 @@
 pub enum News {
     /// No byte of this set-up left.
     Unsent(Id),
-    /// The same, by a choice made here: the machine is not at fault.
+    /// The same, and that says nothing against the machine: a choice made here, or an idle connection that it closed.
     Withdrawn(Id),
     /// The connection ended under this set-up: it may have run.
     Broken(Id),
@@ -180,6 +186,8 @@
     /// Half-closed, and not ended by the machine yet: whose, and since when.
     half_closed: BTreeMap<UpstreamId, (MachineId, Seconds)>,
     next: u64,
+    /// When the loop last went on after it had stood still: what was heard then may have come long before.
+    stalled_at: Seconds,
     /// Connections that may be there at once.
     most: usize,
     times: Times,
@@ -189,8 +197,13 @@
     /// No connections yet; at most `most` at once.
     pub fn new(most: usize, times: Times) -> Self {
         let (peers, upstreams, half_closed) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let (idle, most) = (BTreeSet::new(), most.max(2));
-        Self { peers, upstreams, idle, looked: Cell::new(0), half_closed, next: 0, most, times }
+        let (idle, most, stalled_at) = (BTreeSet::new(), most.max(2), f64::NEG_INFINITY);
+        Self { peers, upstreams, idle, looked: Cell::new(0), half_closed, next: 0, stalled_at, most, times }
+    }
+
+    /// The loop has stood still until now.
+    pub fn stalled(&mut self, now: Seconds) {
+        self.stalled_at = now;
     }
 
     /// The machine at the other end.
--- a/crates/platform/src/pool/offers.rs
+++ b/crates/platform/src/pool/offers.rs
@@ -22,9 +22,11 @@
         };
         let at = fresh.or_else(|| self.dial(now, now, machine, out)).or_else(|| shared(self))?;
         let line = self.upstreams.get_mut(&at)?;
+        let looks = line.idle() && line.heard_at < self.stalled_at + HEARD_LATE;
         line.offers.push(id);
         line.used_at = now;
         line.waiting.push((id, bytes));
+        out.extend(looks.then_some(PoolAction::Look(at)));
         if line.dialled.is_none() && !line.blocked {
             out.push(PoolAction::Due(at, id));
         }
--- a/crates/platform/src/pool/upkeep.rs
+++ b/crates/platform/src/pool/upkeep.rs
@@ -49,7 +49,13 @@
         // Only the set-up that could not be written is known not to have left: others on the line had.
         let waited: BTreeSet<Id> = line.waiting.iter().map(|(offer, _)| *offer).collect();
         let never_left = |offer: Id| waited.contains(&offer) || unwritten == Some(Some(offer));
-        let told = |offer: Id| if never_left(offer) { News::Unsent(offer) } else { News::Broken(offer) };
+        // That an open connection ended is no proof against its machine, which closes idle ones. Whether it can still be
+        // reached the next dial tells.
+        let told = |offer: Id| match never_left(offer) {
+            true if dialling => News::Unsent(offer),
+            true => News::Withdrawn(offer),
+            false => News::Broken(offer),
+        };
         news.extend(line.offers.into_iter().map(told));
         let heard = |other: &Upstream| other.dialled.is_none() && now - other.heard_at < TEST_AFTER;
         let alive = self.to(line.machine).any(|(_, other)| heard(other));
--- a/crates/platform/tests/common/hears.rs
+++ b/crates/platform/tests/common/hears.rs
@@ -54,9 +54,8 @@
             }
             Output::Upstream(PoolAction::Close(line)) => drop(self.lines.remove(&line)),
             Output::CloseDownstream(_) | Output::Log(_) | Output::End(_) => {}
-            Output::Upstream(PoolAction::Due(..))
+            Output::Upstream(PoolAction::Due(..) | PoolAction::Look(_))
             | Output::Look(_)
-            | Output::LookUpstream(_)
             | Output::StopListening => {
                 unreachable!("answered in the step")
             }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -131,7 +131,7 @@
             let mut out = Vec::new();
             self.gateway.step(self.now, std::mem::take(&mut inputs), &mut out);
             for output in out {
-                if let Output::LookUpstream(line) = output {
+                if let Output::Upstream(PoolAction::Look(line)) = output {
                     inputs.push(Input::UpstreamLooked(line));
                 } else if let Output::Look(client) = output {
                     inputs.extend(unread(client));
--- a/crates/platform/tests/common/world.rs
+++ b/crates/platform/tests/common/world.rs
@@ -205,7 +205,7 @@
                 self.now += MESSAGE * read as f64 + looks;
                 for output in out {
                     self.now += MESSAGE;
-                    if let Output::LookUpstream(line) = output {
+                    if let Output::Upstream(PoolAction::Look(line)) = output {
                         // What has come by now is read.
                         self.come();
                         let first = self.turn.take_first();
--- a/crates/platform/tests/connections.rs
+++ b/crates/platform/tests/connections.rs
@@ -18,6 +18,19 @@
     assert_eq!(p.told(OWNER), [release(5, cause::NORMAL)]);
 }
 
+#[test]
+fn an_idle_connection_that_has_ended_counts_against_no_machine() {
+    let mut p = Played::new(1);
+    let (line, _) = p.standing(5, "web");
+    p.client_says(OWNER, set_up(6, "slot"));
+    p.step(Input::UpstreamUnwritten(line, Some(Id(6))));
+    assert_eq!(
+        p.dials().len(),
+        1,
+        "the one machine is dialled at once, also for work that must not run twice"
+    );
+}
+
 #[test]
 fn an_end_on_its_way_while_its_connection_is_finished_is_not_lost() {
     let mut p = Played::new(1);
--- a/crates/platform/tests/withheld.rs
+++ b/crates/platform/tests/withheld.rs
@@ -146,7 +146,7 @@
     p.client_says(OWNER, set_up(6, "web"));
     p.now += 5.0;
     plain(&mut p, Input::Tick);
-    assert!(p.out.contains(&Output::LookUpstream(line)), "{:?}", p.out);
+    assert!(p.out.contains(&Output::Upstream(PoolAction::Look(line))), "{:?}", p.out);
     p.out.clear();
     p.gateway.step(p.now, [Input::UpstreamSaid(line, answer(6)), Input::UpstreamLooked(line)], &mut p.out);
     let told: Vec<_> = p.told(OWNER).iter().map(|m| (m.id, m.kind)).collect();
