--- a/crates/edge/src/hooks.rs
+++ b/crates/edge/src/hooks.rs
@@ -15,8 +15,8 @@
 use tidespur_fleet_net::Member;
 use tidespur_ledger_net::Voter;
 use tidespur_net::{Client, NetError, Recorder, clock};
-use tidespur_pressure::Pressure;
 use tidespur_rest::{DeleteOptions, Hooks, Seen, Verb};
+use tidespur_shedding::LoadShedder;
 use tidespur_store::{Expect, Store};
 use tidespur_waiting::Ledger;
 
@@ -37,7 +37,7 @@
     pub(crate) ledger: Arc<Mutex<Ledger>>,
     pub(crate) behind: AtomicU64,
     pub(crate) member: Option<Arc<Member>>,
-    pub(crate) pressure: Mutex<Pressure>,
+    pub(crate) shedder: Mutex<LoadShedder>,
     pub(crate) disk: Shared,
     pub(crate) voter: Option<Arc<Voter>>,
 }
@@ -46,7 +46,7 @@
     /// Whether a new Pod of this class is taken, as far as the edge keeps up with its work.
     fn keeps_up(&self, class: &str) -> bool {
         let class = self.classes.iter().position(|name| name == class).unwrap_or(0);
-        lock(&self.pressure).admits(class)
+        lock(&self.shedder).admits(class)
     }
 }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -19,8 +19,8 @@
 use tidespur_link::ToPlanner;
 use tidespur_net::routes::Routes;
 use tidespur_net::{Client, Recorder, clock, server};
-use tidespur_pressure::Pressure;
 use tidespur_rest::{Api, Limits, Served};
+use tidespur_shedding::LoadShedder;
 
 /// Inputs that may wait for the core.
 const INPUTS_MOST: usize = 16_384;
@@ -105,7 +105,7 @@
         member: member.clone(),
         disk: disk.clone(),
         voter,
-        pressure: Mutex::new(Pressure::of(config.class.values().map(|class| (class.aim, class.worth)))),
+        shedder: Mutex::new(LoadShedder::of(config.class.values().map(|class| (class.aim, class.worth)))),
     };
     let limits = Limits {
         body: config.edge.body_most as usize,
--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -13,7 +13,7 @@
 use tidespur_durable::Batch;
 use tidespur_policy::Scheduler;
 use tidespur_policy::interface::{Effect, Event, SettingsError, TaskId};
-use tidespur_pressure::Pressure;
+use tidespur_shedding::LoadShedder;
 
 mod acts;
 mod edges;
@@ -54,7 +54,7 @@
     waits: Waits,
     /// Requests of which nothing may run any more: what turns up of them at a node is deleted. Bounded.
     unwanted: BTreeMap<String, f64>,
-    pressure: Pressure,
+    shedder: LoadShedder,
     /// Where what was offered may be: what must outlive this process.
     attempts: Attempts,
     /// Nothing can be written down now, so nothing new is taken.
@@ -74,7 +74,7 @@
     pub fn new(config: Config, ordinal: usize, zone: &str, seed: u64) -> Result<Self, SettingsError> {
         let settings = config.policy(ordinal, words::place(zone));
         let guarded = settings.classes.iter().map(|c| c.effect != Effect::Safe).collect();
-        let pressure = Pressure::of(settings.classes.iter().map(|class| (class.aim, class.worth)));
+        let shedder = LoadShedder::of(settings.classes.iter().map(|class| (class.aim, class.worth)));
         Ok(Self {
             scheduler: Scheduler::new(settings, seed)?,
             config,
@@ -88,7 +88,7 @@
             stepped_at: f64::INFINITY,
             waits: Waits::default(),
             unwanted: BTreeMap::new(),
-            pressure,
+            shedder,
             attempts: Attempts::default(),
             stuck: false,
         })
--- a/crates/planner/src/core/edges.rs
+++ b/crates/planner/src/core/edges.rs
@@ -26,7 +26,7 @@
                     out.push(Output::Edge(edge, ToEdge::Refused { uid: ask.uid, why, retry_in: 0.0 }))
                 }
                 // Only what is new: what was taken is never turned away, however often it is asked for.
-                Ok(task) if !self.knows(&ask.uid) && !self.pressure.admits(task.class) => {
+                Ok(task) if !self.knows(&ask.uid) && !self.shedder.admits(task.class) => {
                     let why = "the planner is behind its work; ask again".to_owned();
                     out.push(Output::Edge(edge, ToEdge::Refused { uid: ask.uid, why, retry_in: SHED_FOR }));
                 }
--- a/crates/planner/src/core/take.rs
+++ b/crates/planner/src/core/take.rs
@@ -98,7 +98,7 @@
                 events.push(Event::Probed { machine: words::machine(&node), report })
             }
             Input::Timer(token) => events.push(Event::Timer(token)),
-            Input::Sent(at) => self.pressure.mark(now, now - at),
+            Input::Sent(at) => self.shedder.mark(now, now - at),
             Input::Tick => {}
         }
     }
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -26,8 +26,8 @@
 use tidespur_policy::interface::{
     Action, Effect, Ending, Event, MachineId, Report, Seconds, Standing, TaskId, Why,
 };
-use tidespur_pressure::Pressure;
 use tidespur_settings::Site;
+use tidespur_shedding::LoadShedder;
 
 /// Set-ups without an answer on one connection; more are refused at once.
 const OPEN_MOST: usize = 256;
@@ -64,7 +64,7 @@
     leaving: Option<Leaving>,
     ticked: Seconds,
     stepped: Seconds,
-    pressure: Pressure,
+    shedder: LoadShedder,
     counts: Counts,
 }
 
@@ -75,7 +75,7 @@
     /// Settings that the policy can't work with.
     pub fn new(site: Site, limits: Limits, seed: u64) -> Result<Self, String> {
         let policy = Scheduler::new(site.settings.clone(), seed).map_err(|e| e.to_string())?;
-        let pressure = Pressure::of(site.settings.classes.iter().map(|class| (class.aim, class.worth)));
+        let shedder = LoadShedder::of(site.settings.classes.iter().map(|class| (class.aim, class.worth)));
         let times = Times { connect_within: site.connect_timeout, idle: site.connection_idle };
         Ok(Self {
             policy,
@@ -92,7 +92,7 @@
             leaving: None,
             ticked: 0.0,
             stepped: 0.0,
-            pressure,
+            shedder,
             counts: Counts::default(),
             site,
         })
@@ -190,7 +190,7 @@
             Input::Unlistened => self.unlistened(out),
             Input::Lag(late) => {
                 self.counts.lag_most = self.counts.lag_most.max((late * 1e3) as u64);
-                self.pressure.mark(now, late);
+                self.shedder.mark(now, late);
             }
             Input::Tick => {}
         }
--- a/crates/platform/src/gateway/requests.rs
+++ b/crates/platform/src/gateway/requests.rs
@@ -106,7 +106,7 @@
             self.counts.cancelled += 1;
             return;
         }
-        let shed = !self.pressure.admits(ask.task.class);
+        let shed = !self.shedder.admits(ask.task.class);
         self.counts.shed += u64::from(shed);
         if shed
             || self.ends()
--- a/crates/pressure/src/lib.rs
+++ b/crates/shedding/src/lib.rs
@@ -1,8 +1,8 @@
-//! How far a loop is behind its work, and which new work it turns away for that.
+//! Load shedding (admission control) by loop lag: how far a loop is behind its work, and which new work it turns away.
 //!
 //! A loop that can't keep up is late with all it owes: answers, ends, the list of machines. Being late makes more
 //! work (time-outs, new connections, owners that come again), so that a short burst can keep a loop drowned for
-//! good. [`Pressure`] is told how late the loop comes to what is due, and turns new work away at once, least
+//! good. [`LoadShedder`] is told how late the loop comes to what is due, and turns new work away at once, least
 //! worth first, until it is in time again. What was taken is never touched.
 //!
 //! The lateness that counts is the least one of a window, as in CoDel (Nichols and Jacobson, "Controlling Queue
@@ -17,7 +17,7 @@
 /// now misses that aim by the wait alone. Sooner would do harm: who is turned away comes again, and turning away is
 /// work too, so that shedding feeds itself (at 0.2 a flood of a modelled loop's own speed had two of three pieces shed,
 /// and without shedding none was lost).
-const BEHIND: f64 = 1.0;
+const LAGGING: f64 = 1.0;
 /// One that was once less late than this share of it in a window has caught up.
 const IN_TIME: f64 = 0.25;
 /// Windows, as a share of the shortest aim, and at least this long.
@@ -33,9 +33,9 @@
 /// What is known of the mix of classes fades by this with each piece of new work.
 const FADE: f64 = 0.995;
 
-/// The standing of one loop.
+/// Sheds the load of one loop.
 #[derive(Clone, Debug)]
-pub struct Pressure {
+pub struct LoadShedder {
     aim: Seconds,
     worths: Vec<f64>,
     /// How much of the new work each class is, lately.
@@ -49,7 +49,7 @@
     share: f64,
 }
 
-impl Pressure {
+impl LoadShedder {
     /// A loop in time. `aim`: the shortest time within which work should be answered, in seconds; `worths`: what
     /// one piece of work of each class is worth.
     pub fn new(aim: Seconds, worths: Vec<f64>) -> Self {
@@ -66,13 +66,13 @@
     }
 
     /// Something that was due, or came, so many seconds ago is handled only at `now`.
-    pub fn mark(&mut self, now: Seconds, late: Seconds) {
+    pub fn mark(&mut self, now: Seconds, lag: Seconds) {
         let began = *self.began.get_or_insert(now);
-        self.least = self.least.min(late.max(0.0));
+        self.least = self.least.min(lag.max(0.0));
         if now - began < (WINDOW * self.aim).max(WINDOW_LEAST) {
             return;
         }
-        if self.least > BEHIND * self.aim {
+        if self.least > LAGGING * self.aim {
             let more = if self.least < self.before { 0.0 } else { MORE };
             self.share = (self.share + more).min(SHED_MOST);
         } else if self.least < IN_TIME * self.aim {
--- a/crates/pressure/tests/pressure.rs
+++ b/crates/shedding/tests/shedding.rs
@@ -1,12 +1,12 @@
 //! A loop with a modelled speed, under more work than it can do, and after that.
 
-use tidespur_pressure::Pressure;
+use tidespur_shedding::LoadShedder;
 
 /// Plays `rate(t)` pieces of work a second, each worth by turns 1 and 5, to a loop that does `speed` a second
-/// and turns away those that `pressure` does not admit. Tells by second: the lateness at its end, the share shed,
+/// and turns away those that `shedding` does not admit. Tells by second: the lateness at its end, the share shed,
 /// and how many of each worth were turned away.
 fn play(rate: impl Fn(f64) -> f64, speed: f64, seconds: usize) -> Vec<(f64, f64, [u32; 2])> {
-    let mut pressure = Pressure::new(0.5, vec![1.0, 5.0]);
+    let mut shedder = LoadShedder::new(0.5, vec![1.0, 5.0]);
     let (mut queue, mut due, mut count) = (0.0_f64, 0.0, 0usize);
     let mut told = Vec::new();
     for second in 0..seconds {
@@ -18,16 +18,16 @@
                 due -= 1.0;
                 count += 1;
                 let class = count % 2;
-                if pressure.admits(class) {
+                if shedder.admits(class) {
                     queue += 1.0;
                 } else {
                     shed[class] += 1;
                 }
             }
             queue = (queue - speed / 100.0).max(0.0);
-            pressure.mark(now, queue / speed);
+            shedder.mark(now, queue / speed);
         }
-        told.push((queue / speed, pressure.share(), shed));
+        told.push((queue / speed, shedder.share(), shed));
     }
     told
 }
