--- a/crates/planner/tests/common/machine.rs
+++ b/crates/planner/tests/common/machine.rs
@@ -1,7 +1,7 @@
 //! Machines that hear on all of their connections at once.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use super::{PATIENCE, listen, message};
+use super::{PATIENCE, listen, message, next, set_up};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -71,6 +71,17 @@
         }
     }
 
+    /// A task of this owner is placed here: the connection of its offer.
+    pub fn places(&mut self, owner: &mut TcpStream, id: u64) -> usize {
+        owner.write_all(&set_up(id)).unwrap();
+        let (connection, heard) = self.next_set_up();
+        assert_eq!(heard, id);
+        self.accepts(connection, id);
+        let answer = next(owner);
+        assert_eq!((answer.0, answer.1), (9, id));
+        connection
+    }
+
     pub fn connections(&self) -> usize {
         self.connections.len()
     }
--- a/crates/planner/tests/crossings.rs
+++ b/crates/planner/tests/crossings.rs
@@ -72,10 +72,7 @@
     let (mut machine, (_board, board_at)) = (Machine::new(), listen());
     let scheduler = Scheduler::start("back", board_at, &event(1, true, "s-1", machine.at));
     let mut first = greeted(&scheduler);
-    first.write_all(&set_up(5)).unwrap();
-    let (connection, _) = machine.next_set_up();
-    machine.accepts(connection, 5);
-    assert_eq!(next(&mut first).0, 9);
+    let connection = machine.places(&mut first, 5);
     let mut second = greeted(&scheduler);
     scheduler.held(|| {
         let asks = b"cores:1;memory:2;service:00000000b4d65521;at:s-1";
@@ -116,10 +113,7 @@
     let known = event(1, true, "s-1", machine.at);
     let scheduler = Scheduler::start_with("idle-close", board_at, &known, unsafe_work);
     let mut owner = greeted(&scheduler);
-    owner.write_all(&set_up(5)).unwrap();
-    let (connection, _) = machine.next_set_up();
-    machine.accepts(connection, 5);
-    assert_eq!(next(&mut owner).0, 9);
+    let connection = machine.places(&mut owner, 5);
     scheduler.held(|| {
         // A word on it makes the connection one that carries a set-up at once; then it is idle for longer than that lasts.
         machine.says(connection, &message(6, 5, &[]));
@@ -161,17 +155,10 @@
     let few = |config: String| config.replace(r#""sockets":256"#, r#""sockets":64"#);
     let scheduler = Scheduler::start_with("full", board_at, &event(1, true, "s-1", machine.at), few);
     let mut owner = greeted(&scheduler);
-    owner.write_all(&set_up(5)).unwrap();
-    let (connection, _) = machine.next_set_up();
-    machine.accepts(connection, 5);
-    assert_eq!(next(&mut owner).0, 9);
+    machine.places(&mut owner, 5);
     // Twice as many as it may have descriptors; the process's own limit is set to these.
     let _idle: Vec<TcpStream> = (0..128).map(|_| scheduler.connect()).collect();
-    owner.write_all(&set_up(7)).unwrap();
-    let (connection, id) = machine.next_set_up();
-    assert_eq!(id, 7);
-    machine.accepts(connection, 7);
-    assert_eq!(next(&mut owner).1, 7);
+    machine.places(&mut owner, 7);
     let board_in = TcpListener::bind(board_at).unwrap();
     let (from, mut stream) = board(&board_in);
     assert_eq!(from, 1, "it goes on from what it knows");
--- a/crates/planner/tests/discovery.rs
+++ b/crates/planner/tests/discovery.rs
@@ -33,11 +33,7 @@
         tell(stream, 2, &event(2, false, "s-2", other.at).replace("Ready", "Terminating"));
     }
     let mut owner = greeted(&scheduler);
-    owner.write_all(&set_up(5)).unwrap();
-    let (connection, id) = machine.next_set_up();
-    assert_eq!(id, 5);
-    machine.accepts(connection, 5);
-    assert_eq!(next(&mut owner).0, 9);
+    machine.places(&mut owner, 5);
 }
 
 #[test]
@@ -64,11 +60,7 @@
     let scheduler = Scheduler::start("id-again", board_at, &event(1, true, "s-1", machine.at));
     let mut owner = greeted(&scheduler);
     for _ in 0..3 {
-        owner.write_all(&set_up(5)).unwrap();
-        let (connection, id) = machine.next_set_up();
-        assert_eq!(id, 5);
-        machine.accepts(connection, 5);
-        assert_eq!(next(&mut owner).0, 9);
+        let connection = machine.places(&mut owner, 5);
         // Told twice: the second copy comes when nothing of it is known any more, or when the next is under way.
         let over = message(12, 5, &[(222, &[16])]);
         scheduler.held(|| {
--- a/crates/planner/tests/gone.rs
+++ b/crates/planner/tests/gone.rs
@@ -31,11 +31,7 @@
     let (mut machine, (_board, board_at)) = (Machine::new(), listen());
     let scheduler = Scheduler::start(test, board_at, &event(1, true, "s-1", machine.at));
     let mut owner = greeted(&scheduler);
-    owner.write_all(&set_up(5)).unwrap();
-    let (connection, id) = machine.next_set_up();
-    assert_eq!(id, 5);
-    machine.accepts(connection, 5);
-    assert_eq!(next(&mut owner).0, 9);
+    let connection = machine.places(&mut owner, 5);
     (scheduler, machine, owner, connection)
 }
 
--- a/crates/planner/tests/starts.rs
+++ b/crates/planner/tests/starts.rs
@@ -95,11 +95,7 @@
     for (n, scheduler) in fleet.iter().enumerate() {
         let id = 100 + n as u64;
         let mut owner = scheduler.connect();
-        owner.write_all(&set_up(id)).unwrap();
-        let (connection, heard) = machine.next_set_up();
-        assert_eq!(heard, id);
-        machine.accepts(connection, id);
-        assert_eq!(next(&mut owner).0, 9, "it places under its crowd");
+        machine.places(&mut owner, id);
     }
     ends.store(true, Ordering::Relaxed);
     let came: Vec<usize> = crowds.into_iter().map(|crowd| crowd.join().unwrap()).collect();
--- a/crates/platform/src/gateway/actions.rs
+++ b/crates/platform/src/gateway/actions.rs
@@ -53,11 +53,10 @@
         let number = self.table.sends(id);
         let Some(request) = self.table.get(id) else { return };
         let Stage::Open { may_have_run, .. } = request.stage else { return };
-        let milliseconds = (wait * 1000.0).ceil().max(1.0) as u64;
+        let milliseconds = ((wait * 1000.0).ceil().max(1.0) as u64).to_string();
         let mut set_up = Message::new(Kind::SetUp, id);
         for (code, value) in &request.passed {
-            let waits = milliseconds.to_string();
-            set_up = set_up.with(*code, if *code == code::WAIT { waits.as_bytes() } else { value });
+            set_up = set_up.with(*code, if *code == code::WAIT { milliseconds.as_bytes() } else { value });
         }
         self.counts.offers += 1;
         match self.on_pool(out, |pool, acts| pool.offer(now, machine, id, set_up.bytes(), acts)) {
