Planners are counted under the lease of the fleet, and refuse the word of who held it before

The count of planners that divides what cold nodes bear is the first: package recovery (Sharers, no I/O) decides, the edge that holds 'fleet' notes planners in the ledger and tells each of its links how many share, with lease and token; planners pass the token through their fence, on their disk before the count is used, and refuse a lower one by name, to the log and its sender. Up at once, down only for who said that it leaves; without a word the smallest part. Link at version 3. Left out here: fences at edges and nodes, which no act reaches yet.

--- a/crates/cli/tests/ledger.rs
+++ b/crates/cli/tests/ledger.rs
@@ -2,12 +2,13 @@
 //! slowness and a cut of the power by seed.
 
 mod common;
+#[path = "common/fleet.rs"]
+mod fleet;
 
 use common::*;
+use fleet::*;
 use hyper::Method;
 use rand::{Rng, SeedableRng};
-use serde_json::Value;
-use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 use tidespur_rig::process::Process;
@@ -16,75 +17,6 @@
 /// Drawn from this; LEDGER_ROUNDS plays more, outside CI.
 const SEED: u64 = 1_202;
 
-struct Fleet {
-    edges: Vec<Process>,
-    /// By the pair that dials and is dialled.
-    relays: BTreeMap<(usize, usize), Relay>,
-    folder: tempfile::TempDir,
-}
-
-fn free() -> String {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
-}
-
-fn fleet(running: &Running) -> Fleet {
-    let folder = tempfile::tempdir().unwrap();
-    let at: Vec<String> = (0..3).map(|_| free()).collect();
-    let voters: String = at.iter().enumerate().map(|(i, at)| format!("    edge-{i} = \"{at}\"\n")).collect();
-    let config = folder.path().join("config.hcl");
-    let block = format!("ledger {{\n  term = 2\n  voters = {{\n{voters}  }}\n}}\n");
-    std::fs::write(&config, format!("{}\n{block}", tidespur_config::DEFAULT)).unwrap();
-    let mut relays = BTreeMap::new();
-    for i in 0..3 {
-        let mut routes = String::new();
-        for (j, at) in at.iter().enumerate().skip(i + 1) {
-            let relay = smol::block_on(Relay::start(at)).unwrap();
-            routes.push_str(&format!("{at} {}\n", relay.address));
-            relays.insert((i, j), relay);
-        }
-        std::fs::write(folder.path().join(format!("routes-{i}")), routes).unwrap();
-    }
-    let register = &running.cluster.register.addresses[0];
-    let edge = |i: usize| {
-        let at = |name: &str| folder.path().join(name).display().to_string();
-        let line = format!(
-            "edge --api 127.0.0.1:0 --link 127.0.0.1:0 --register {register} --name edge-{i} --config {} \
-             --data {} --routes {}",
-            config.display(),
-            at("data"),
-            at(&format!("routes-{i}"))
-        );
-        let words = line.split_whitespace().map(str::to_owned).collect();
-        let program = env!("CARGO_BIN_EXE_tidespur").into();
-        let log = folder.path().join(format!("edge-{i}.log"));
-        Process::start(&format!("edge-{i}"), program, words, Some(log), true).unwrap()
-    };
-    let edges = (0..3).map(edge).collect();
-    Fleet { edges, relays, folder }
-}
-
-fn ask(edge: &Process, method: Method, path: &str) -> Option<(u16, String)> {
-    let client = tidespur_net::Client::new(edge.addresses.first()?, 1, vec![]);
-    let reply = smol::block_on(client.send(method, path, "", Default::default(), 2.0)).ok()?;
-    Some((reply.status.as_u16(), String::from_utf8_lossy(&reply.body).into_owned()))
-}
-
-fn ledger(edge: &Process) -> Value {
-    let told = ask(edge, Method::GET, "/debug/ledger").map(|(_, text)| text).unwrap_or_default();
-    serde_json::from_str(&told).unwrap_or(Value::Null)
-}
-
-fn acts(edge: &Process) -> Option<u64> {
-    ledger(edge)["leases"][0]["mayActHere"].as_u64()
-}
-
-fn all_vote_and_one_acts(running: &Running, fleet: &Fleet, what: &str) {
-    running.until(what, async || {
-        let votes = fleet.edges.iter().all(|edge| ledger(edge)["standing"] == "voting");
-        (votes && fleet.edges.iter().filter_map(acts).count() == 1).then_some(())
-    });
-}
-
 /// Which start of which edge was given which token, by the logs of all. One whose term ran out before its renewal was
 /// heard may hold the same token again.
 fn tokens(folder: &Path) -> Vec<(u64, String)> {
--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -40,9 +40,11 @@
             spread_most: c.spread_most,
         };
         let (n, s, p) = (&self.nodes, &self.safety, &self.prices);
+        // Where the ledger counts planners, one that was not told yet takes the smallest part: one offer in a window.
+        let uncounted = if self.ledger.is_some() { s.cold_bears as u32 } else { 0 };
         policy::Settings {
             ordinal,
-            schedulers: self.planner.planners.max(ordinal as u32 + 1) as usize,
+            schedulers: self.planner.planners.max(ordinal as u32 + 1).max(uncounted) as usize,
             zone,
             classes: self.class.values().map(class).collect(),
             tenants: self
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -12,6 +12,15 @@
     assert_eq!(format!("{bare:?}"), format!("{config:?}"), "the example's values are the defaults");
 }
 
+#[test]
+fn where_the_ledger_counts_planners_one_that_was_not_told_takes_the_smallest_part() {
+    let of = |text: &str| parse("settings", text).unwrap().policy(0, 0);
+    let counted = of(&format!("{DEFAULT}\nledger {{\n  voters = {{ edge-0 = \"127.0.0.1:7301\" }}\n}}\n"));
+    assert_eq!((of(DEFAULT).schedulers, counted.schedulers, counted.safety.cold_bears), (1, 8, 8.0));
+    let many = DEFAULT.replace("planners         = 1 ", "planners         = 30 ");
+    assert_eq!(of(&many).schedulers, 30);
+}
+
 #[test]
 fn bad_settings_name_file_line_key_and_range() {
     for (from, to, key, says) in [
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -156,6 +156,9 @@
                 Input::PlannerUp(id) => desk_events.push(desk::Event::PlannerUp(id)),
                 Input::PlannerLost(id) => desk_events.push(desk::Event::PlannerLost(id)),
                 Input::Said(id, ToEdge::Waits(words)) => self.waits.told(now, id, words, &self.desk),
+                Input::Said(_, ToEdge::Stale { lease, token, newest }) => {
+                    tracing::warn!(lease, token, newest, "a planner refused a word: another acts by now");
+                }
                 Input::Said(id, message) => desk_events.push(desk::Event::Said(id, message)),
                 Input::Nodes(list) => nodes_whole(list, store, now),
                 Input::Node(node, deleted) => node_change(node, deleted, store, now),
--- /dev/null
+++ b/crates/edge/src/count.rs
@@ -0,0 +1,60 @@
+//! Counts the planners of the fleet while this edge acts for it: the loop around [`Sharers`]. It decides nothing.
+
+use crate::run::Loop;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use tidespur_fleet::{Role, Standing};
+use tidespur_ledger::Input;
+use tidespur_ledger_net::FLEET;
+use tidespur_link::ToPlanner;
+use tidespur_net::clock;
+use tidespur_recovery::{Output, Seen, Sharers};
+
+/// The ledger's notes of planners that count begin with this.
+pub(crate) const COUNTED: &str = "planner/";
+/// It is looked through this often.
+const LOOK: f64 = 0.2;
+
+impl Loop {
+    /// Ends at once where this edge keeps no ledger.
+    pub(crate) async fn count_planners(self: Arc<Self>) {
+        let Some(voter) = self.api.hooks.voter.clone() else { return };
+        let mut sharers = Sharers::default();
+        loop {
+            clock::sleep(LOOK).await;
+            let linked: BTreeMap<u64, String> = match self.planners.lock() {
+                Ok(planners) => planners.iter().map(|(&id, linked)| (id, linked.name.clone())).collect(),
+                Err(_) => return,
+            };
+            let (counted, left) = (voter.noted(COUNTED), self.left());
+            let token = voter.may_act(FLEET);
+            let seen = Seen { token, linked: &linked, counted: &counted, left: &left };
+            let mut out = Vec::new();
+            sharers.step(clock::now(), &seen, &mut out);
+            for output in out {
+                let note =
+                    |name, value| Input::Note { lease: FLEET.into(), key: format!("{COUNTED}{name}"), value };
+                match output {
+                    Output::Count(name) => voter.tell(note(name, b"1".to_vec())),
+                    Output::Forget(name) => voter.tell(note(name, Vec::new())),
+                    // Asked at the moment of the act: the step may have been long. What comes late all the same, the
+                    // planner's fence refuses.
+                    Output::Tell { link, token, planners } if voter.may_act(FLEET) == Some(token) => {
+                        self.tell(link, ToPlanner::Sharers { lease: FLEET.into(), token, planners });
+                    }
+                    Output::Tell { link, .. } => sharers.unsaid(link),
+                }
+            }
+        }
+    }
+
+    /// Planners that said to the fleet that they left: silence or a lost member is none.
+    fn left(&self) -> BTreeSet<String> {
+        let Some(member) = &self.api.hooks.member else { return BTreeSet::new() };
+        let view = member.view();
+        let left = view.members.iter().filter(|seen| seen.standing == Standing::Left);
+        let planners =
+            left.filter(|seen| seen.facts.as_ref().is_some_and(|facts| facts.role == Role::Planner));
+        planners.map(|seen| seen.id.name.clone()).collect()
+    }
+}
--- a/crates/edge/src/desk/planners.rs
+++ b/crates/edge/src/desk/planners.rs
@@ -156,6 +156,6 @@
         | ToEdge::Runs { uid }
         | ToEdge::Ended { uid, .. }
         | ToEdge::Located { uid, .. } => uid,
-        ToEdge::Hello { .. } | ToEdge::Ping | ToEdge::Waits(_) => "",
+        ToEdge::Hello { .. } | ToEdge::Ping | ToEdge::Waits(_) | ToEdge::Stale { .. } => "",
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! desk, Job controller and store together; both are state machines without I/O. [`run`] is the loop around them.
 
 pub mod core;
+mod count;
 pub mod desk;
 mod garbage;
 mod hooks;
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Input;
 use crate::desk::PlannerId;
-use crate::run::{Loop, SILENCE};
+use crate::run::{Linked, Loop, SILENCE};
 use serde_json::json;
 use smol::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -47,7 +47,10 @@
         tracing::info!(edge = self.options.name, planner, ordinal, "a planner is here");
         let (send, queue) = async_channel::bounded(frames::QUEUE_MOST);
         send.try_send(ToPlanner::Welcome { edge: self.options.name.clone() }).map_err(|e| e.to_string())?;
-        self.planners.lock().map_err(|e| e.to_string())?.insert(id, send.clone());
+        self.planners
+            .lock()
+            .map_err(|e| e.to_string())?
+            .insert(id, Linked { name: planner.clone(), send: send.clone() });
         self.inputs.send(Input::PlannerUp(id)).await.map_err(|e| e.to_string())?;
         let read = |message| {
             if message == ToEdge::Ping {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -27,12 +27,18 @@
 /// Silence after which the register's watch counts as lost.
 pub(crate) const SILENCE: f64 = 1.6;
 
+/// A planner that is linked.
+pub(crate) struct Linked {
+    pub(crate) name: String,
+    pub(crate) send: Sender<ToPlanner>,
+}
+
 pub(crate) struct Loop {
     pub(crate) config: Config,
     pub(crate) options: Options,
     pub(crate) inputs: Sender<Input>,
     pub(crate) api: Arc<Api<EdgeHooks>>,
-    pub(crate) planners: Mutex<BTreeMap<PlannerId, Sender<ToPlanner>>>,
+    pub(crate) planners: Mutex<BTreeMap<PlannerId, Linked>>,
     pub(crate) recorder: Recorder,
     pub(crate) disk: Shared,
 }
@@ -130,6 +136,7 @@
     smol::spawn(this.clone().accept(link_listener)).detach();
     smol::spawn(this.clone().follow_register()).detach();
     smol::spawn(this.clone().mark()).detach();
+    smol::spawn(this.clone().count_planners()).detach();
     smol::spawn(async move { server::serve(api_listener, served, Arc::new(Served(api))).await }).detach();
     tracing::info!(edge = this.options.name, api = api_address, link = link_address, "started");
     let mut addresses = vec![api_address, link_address];
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -110,13 +110,13 @@
         }
     }
 
-    fn tell(&self, planner: PlannerId, message: ToPlanner) {
+    pub(crate) fn tell(&self, planner: PlannerId, message: ToPlanner) {
         let planners = lock(&self.planners);
         // A full queue means that the planner reads nothing: its link ends, and its tasks with it.
-        if let Some(send) = planners.get(&planner)
-            && send.try_send(message).is_err()
+        if let Some(linked) = planners.get(&planner)
+            && linked.send.try_send(message).is_err()
         {
-            send.close();
+            linked.send.close();
         }
     }
 
--- a/crates/edge/tests/recall.rs
+++ b/crates/edge/tests/recall.rs
@@ -94,7 +94,7 @@
                     truth.running.remove(&uid);
                     continue;
                 }
-                ToPlanner::Welcome { .. } | ToPlanner::Ping => continue,
+                ToPlanner::Welcome { .. } | ToPlanner::Ping | ToPlanner::Sharers { .. } => continue,
             };
             self.pending.push(answer);
         }
--- a/crates/ledger-net/src/lib.rs
+++ b/crates/ledger-net/src/lib.rs
@@ -8,6 +8,7 @@
 use async_channel::Sender;
 use serde_json::{Value, json};
 use smol::net::TcpListener;
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use streams::Streams;
 use tidespur_config::Config;
@@ -95,6 +96,13 @@
         lock(&self.ledger).may_act(clock::now(), lease)
     }
 
+    /// What is remembered under keys that begin with this, without it.
+    pub fn noted(&self, prefix: &str) -> BTreeSet<String> {
+        let ledger = lock(&self.ledger);
+        let keys = ledger.state().notes.keys();
+        keys.filter_map(|key| key.strip_prefix(prefix).map(str::to_owned)).collect()
+    }
+
     /// Tells the voter something. Lost where its loop is far behind: whoever wants it said says it again.
     pub fn tell(&self, input: Input) {
         let _ = self.tell.try_send(turn::Event::Input(input));
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -12,4 +12,4 @@
 pub use message::{End, Found, ToEdge, ToPlanner};
 
 /// Version of frames and messages.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
--- a/crates/link/src/message.rs
+++ b/crates/link/src/message.rs
@@ -45,6 +45,15 @@
     },
     /// Still here.
     Ping,
+    /// So many planners share what cold nodes bear. Said under a lease; an older token than one heard before is refused.
+    Sharers {
+        /// Name of the lease.
+        lease: String,
+        /// Its token.
+        token: u64,
+        /// How many, the planner that hears it included.
+        planners: u32,
+    },
 }
 
 /// How a placed task ended.
@@ -140,4 +149,13 @@
     },
     /// Still here.
     Ping,
+    /// What was said under a lease is refused: its token is not the newest any more.
+    Stale {
+        /// Name of the lease.
+        lease: String,
+        /// The token that was said.
+        token: u64,
+        /// The newest one known.
+        newest: u64,
+    },
 }
--- a/crates/planner/src/carry.rs
+++ b/crates/planner/src/carry.rs
@@ -75,6 +75,8 @@
                 })
                 .detach();
             }
+            // The turn keeps it to itself.
+            Output::Share(_) => {}
             Output::Log(line) => tracing::info!(planner = self.name, "{line}"),
         }
     }
--- a/crates/planner/src/core.rs
+++ b/crates/planner/src/core.rs
@@ -11,6 +11,7 @@
 use tidespur_api::{Object, meta, names};
 use tidespur_config::Config;
 use tidespur_durable::Batch;
+use tidespur_ledger::Fence;
 use tidespur_policy::Scheduler;
 use tidespur_policy::interface::{Effect, Event, SettingsError, TaskId};
 use tidespur_shedding::LoadShedder;
@@ -59,13 +60,17 @@
     attempts: Attempts,
     /// Nothing can be written down now, so nothing new is taken.
     stuck: bool,
+    /// Of what is said under leases only the newest token's word counts, also over this process' end.
+    fence: Fence,
+    /// How many share what cold nodes bear: to be told to the policy.
+    sharers: Option<u32>,
 }
 
 /// What is unwanted is remembered for this long: far longer than an offer can be on its way.
 const UNWANTED_FOR: f64 = 120.0;
 /// After standing still for this share of the edges' patience a planner gives up all that is open. A ping is at most
 /// a quarter of the patience old when it stops, so an edge that has not given it up by then hears of it by the cut.
-const FENCE: f64 = 0.6;
+const STILL: f64 = 0.6;
 /// Answers of nodes that are kept of one task.
 const ANSWERS_MOST: usize = 4;
 
@@ -91,19 +96,28 @@
             shedder,
             attempts: Attempts::default(),
             stuck: false,
+            fence: Fence::default(),
+            sharers: None,
         })
     }
 
-    /// A planner that knows what an earlier process of it may have left at nodes.
+    /// A planner that knows what an earlier process of it may have left at nodes, and the newest tokens that it heard.
     #[must_use]
-    pub fn recalling(mut self, attempts: Attempts) -> Self {
-        self.attempts = attempts;
+    pub fn recalling(mut self, attempts: Attempts, fence: Fence) -> Self {
+        (self.attempts, self.fence) = (attempts, fence);
         self
     }
 
-    /// What must be safe before what the last step said of offers may leave.
+    /// What must be safe before what the last step said of offers and sharers may be carried out.
     pub fn remember(&mut self) -> Batch {
-        self.attempts.take()
+        let mut batch = self.attempts.take();
+        batch.extend(self.fence.take());
+        batch
+    }
+
+    /// [`Output::Share`], carried out: the next step tells the policy.
+    pub fn share(&mut self, planners: u32) {
+        self.sharers = Some(planners);
     }
 
     /// Whether anything can be written down now. Where nothing can, nothing new is taken: its edge gives it to another.
@@ -124,8 +138,9 @@
 
     /// Takes in `inputs`, all of time `now`, and appends what is to be done.
     pub fn step(&mut self, now: f64, inputs: Vec<Input>, out: &mut Vec<Output>) {
-        let mut events = Vec::new();
-        self.fence(now, &mut events, out);
+        let mut events: Vec<Event> =
+            self.sharers.take().map(|all| Event::Sharers(all as usize)).into_iter().collect();
+        self.stood_still(now, &mut events, out);
         for input in inputs {
             self.take(now, input, &mut events, out);
         }
@@ -147,10 +162,10 @@
     /// edges have answered for meanwhile: nothing may be sent for those. It gives up all that is open and cuts its
     /// links, before it looks at anything that came in. Should also guard against a step that took too long. Harm:
     /// what was open is refused or failed though the planner is back.
-    fn fence(&mut self, now: f64, events: &mut Vec<Event>, out: &mut Vec<Output>) {
+    fn stood_still(&mut self, now: f64, events: &mut Vec<Event>, out: &mut Vec<Output>) {
         let still = now - self.stepped_at;
         self.stepped_at = now;
-        if still <= FENCE * self.config.edge.planner_patience {
+        if still <= STILL * self.config.edge.planner_patience {
             return;
         }
         out.push(Output::Log(format!("stood still for {still:.1} s: gives up what was open")));
--- a/crates/planner/src/core/edges.rs
+++ b/crates/planner/src/core/edges.rs
@@ -19,6 +19,19 @@
     ) {
         match message {
             ToPlanner::Welcome { .. } | ToPlanner::Ping => {}
+            ToPlanner::Sharers { lease, token, planners } => match self.fence.pass(&lease, token) {
+                Ok(()) => {
+                    out.push(Output::Log(format!(
+                        "shares cold nodes with all of {planners} planners, by token {token} of {lease}"
+                    )));
+                    out.push(Output::Share(planners));
+                }
+                Err(stale) => {
+                    out.push(Output::Log(format!("refused: {stale}")));
+                    let newest = stale.newest;
+                    out.push(Output::Edge(edge, ToEdge::Stale { lease, token, newest }));
+                }
+            },
             // Its edge takes it back and gives it to another planner.
             ToPlanner::Place(ask) if self.stuck && !self.knows(&ask.uid) => {}
             ToPlanner::Place(ask) => match self.read_task(now, &ask) {
--- a/crates/planner/src/core/talk.rs
+++ b/crates/planner/src/core/talk.rs
@@ -94,6 +94,8 @@
     Probe(String, String),
     /// Come back with this token.
     Timer(f64, u64),
-    /// A line of the policy for the operators.
+    /// So many planners share what cold nodes bear: [`super::Core::share`] once the token that said so is safe.
+    Share(u32),
+    /// A line for the operators.
     Log(String),
 }
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -13,6 +13,7 @@
 use tidespur_durable::{Disk, Identity, Outbox, Recalled};
 use tidespur_fleet::{Facts, Role};
 use tidespur_fleet_net::{Ending, Member, told_to_end};
+use tidespur_ledger::Fence;
 use tidespur_link::ToEdge;
 use tidespur_net::{Client, Recorder, clock};
 
@@ -55,7 +56,7 @@
     let core = core.map_err(|e| e.to_string())?;
     let (disk, back) = remember(&config, &options, &name)?.unzip();
     let mut core = match &back {
-        Some(back) => core.recalling(Attempts::recall(back)?),
+        Some(back) => core.recalling(Attempts::recall(back)?, Fence::recall(back)),
         None => core,
     };
     let (send, receive) = async_channel::bounded(INPUTS_MOST);
@@ -157,19 +158,26 @@
             let mut outputs = Vec::new();
             core.step(now, batch, &mut outputs);
             let Some(disk) = disk else {
-                outputs.into_iter().for_each(|output| self.carry_out(output));
+                for output in outputs {
+                    match output {
+                        Output::Share(planners) => core.share(planners),
+                        output => self.carry_out(output),
+                    }
+                }
                 continue;
             };
             let rests_on = disk.write(core.remember());
             for output in outputs {
                 match output {
                     Output::Offer { wait, .. } => outbox.hold(rests_on, Held(output, now + wait)),
+                    Output::Share(_) => outbox.hold(rests_on, Held(output, f64::INFINITY)),
                     output => self.carry_out(output),
                 }
             }
             for Held(offer, until) in outbox.release(disk.safe()) {
                 let left = until - clock::now();
                 match offer {
+                    Output::Share(planners) => core.share(planners),
                     Output::Offer { task, attempt, node, address, ask, .. } if left > 0.0 => {
                         self.carry_out(Output::Offer { task, attempt, node, address, ask, wait: left });
                     }
@@ -180,8 +188,11 @@
     }
 }
 
-fn wanted(core: &Core, offer: &Output) -> bool {
-    matches!(offer, Output::Offer { task, attempt, .. } if core.wants(*task, *attempt))
+fn wanted(core: &Core, held: &Output) -> bool {
+    match held {
+        Output::Offer { task, attempt, .. } => core.wants(*task, *attempt),
+        _ => true,
+    }
 }
 
 /// What becomes of an offer that never left: nothing of it can have run.
--- a/crates/planner/tests/attempts.rs
+++ b/crates/planner/tests/attempts.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use tidespur_config::{DEFAULT, parse};
 use tidespur_durable::{Batch, Recalled};
+use tidespur_ledger::Fence;
 use tidespur_link::{Found, ToEdge, ToPlanner};
 use tidespur_planner::attempts::Attempts;
 use tidespur_planner::core::{Core, Input, Output};
@@ -34,7 +35,8 @@
 
 /// A planner that comes back with these attempts, in a register that lists these nodes.
 fn planner(attempts: Attempts, listed: &[&str]) -> Core {
-    let mut core = Core::new(parse("built-in", DEFAULT).unwrap(), 0, "", 1).unwrap().recalling(attempts);
+    let core = Core::new(parse("built-in", DEFAULT).unwrap(), 0, "", 1).unwrap();
+    let mut core = core.recalling(attempts, Fence::default());
     let list = listed.iter().map(|name| node(name)).collect();
     core.step(0.0, vec![Input::ListWhole(list)], &mut vec![]);
     for name in listed {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -111,8 +111,7 @@
     open: BTreeMap<Whose, Vec<MachineId>>,
     /// Cores and memory that no machine takes, by class, tenant and, where it counts, service.
     full: BTreeMap<(usize, usize, ServiceId), Vec<[f64; 2]>>,
-    /// Machines that were looked at, for one task or for many.
-    looked: u64,
+    looked: u64, // Machines that were looked at, for one task or for many.
 }
 
 /// Decides for one scheduler. It knows what its events told it, nothing else.
--- a/crates/policy/src/choice/events.rs
+++ b/crates/policy/src/choice/events.rs
@@ -48,6 +48,7 @@
                     self.programs.insert(pair, now + if gone { KEPT_FOR } else { HEARD_FOR });
                 }
             }
+            Event::Sharers(all) => self.settings.schedulers = all.max(self.settings.ordinal + 1),
             Event::Probed { machine, report } => {
                 self.machines.get_mut(&machine).into_iter().for_each(|machine| machine.probe_at = now);
                 self.take_report(now, Some(machine), report);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -404,6 +404,8 @@
     },
     /// What another scheduler told; may be late, and some are lost.
     Heard(Vec<u8>),
+    /// So many schedulers share what cold machines bear, from now on; this one is counted.
+    Sharers(usize),
 }
 
 /// What a scheduler wants done, in this order.
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -113,3 +113,42 @@
         plays(schedulers, true);
     }
 }
+
+/// Sixteen schedulers, each counted alone at first, hear of all at drawn moments: from the last of these on the sum holds.
+#[test]
+fn schedulers_that_hear_of_more_take_a_smaller_part_each() {
+    let mut set = settings(vec![class(Effect::Safe)]);
+    set.safety.cold_bears = 16.0;
+    let list = vec![Entry { up_since: Some(999.5), ..entry(7) }];
+    let mut sent = Vec::new();
+    for ordinal in 0..16 {
+        set.ordinal = ordinal;
+        set.schedulers = ordinal + 1;
+        let mut scheduler = Scheduler::new(set.clone(), ordinal as u64).expect("settings are sound");
+        let mut now = 1000.0;
+        let mut events = vec![Event::ListWhole(list.clone()), Event::Sharers(16)];
+        while now < 1006.0 {
+            let id = (ordinal * 10_000) as u64 + (now * 100.0) as u64 % 10_000;
+            let work = Task { cores: 0.1, memory: 0.1, life: Some(0.5), ..task(id, 0, now + 3.0) };
+            events.push(Event::Submit(work));
+            let mut actions = Vec::new();
+            scheduler.step(now, std::mem::take(&mut events), &mut actions);
+            for action in actions {
+                let Action::Send { task, .. } = action else { continue };
+                sent.push(now);
+                let ends =
+                    Event::Outcome { task, attempt: 0, ending: Ending::Finished, closed: true, report: None };
+                events.extend([Event::Confirmed { task, attempt: 0 }, ends]);
+            }
+            now += 0.05;
+        }
+    }
+    sent.sort_by(f64::total_cmp);
+    let window = set.safety.overload_for;
+    let most =
+        sent.iter().map(|&from| sent.iter().filter(|&&at| at >= from && at < from + window).count()).max();
+    assert!(
+        (16..=26).contains(&most.unwrap_or(0)),
+        "{most:?} of 26 offers in a window: sixteen schedulers, one each"
+    );
+}
--- /dev/null
+++ b/crates/recovery/src/lib.rs
@@ -0,0 +1,7 @@
+//! In which order service returns after an outage, by evidence. No I/O.
+//!
+//! So far: how many planners share what cold nodes bear ([`Sharers`]). The rest of the order is to come (`docs/dark.md`).
+
+mod sharers;
+
+pub use sharers::{NAME_MOST, Output, Seen, Sharers};
