A planner offers nothing to a node that has not said what it holds

Now a listed node counts as not there for the policy until its first whole word; work that waits for that says Unheard. One that was heard once stays offered work while its watch is broken: that is the policy's matter. Lines: learn and NodeHolds in planner/core/take.rs.

--- a/crates/planner/src/core/acts.rs
+++ b/crates/planner/src/core/acts.rs
@@ -72,7 +72,7 @@
                 false => Found::Unclear,
             };
             // An earlier process of this planner offered it to a node that nobody has heard since.
-            let heard = |node: &str| self.nodes.0.get(node).is_some_and(|node| node.heard.is_finite());
+            let heard = |node: &str| self.nodes.0.get(node).is_some_and(crate::nodes::Node::is_known);
             let found = match found {
                 Found::Ended(End::Succeeded) => found,
                 Found::Nowhere | Found::Ended(_) if self.attempts.unsure(&q.uid, heard) => Found::Unclear,
--- a/crates/planner/src/core/take.rs
+++ b/crates/planner/src/core/take.rs
@@ -5,7 +5,7 @@
 use crate::words::{self, AtNode};
 use std::collections::BTreeSet;
 use tidespur_link::End;
-use tidespur_policy::interface::{Event, Standing as Listing};
+use tidespur_policy::interface::{Entry, Event, Standing as Listing};
 
 impl Core {
     pub(super) fn take(&mut self, now: f64, input: Input, events: &mut Vec<Event>, out: &mut Vec<Output>) {
@@ -32,8 +32,8 @@
                 if deleted {
                     node.entry.standing = Listing::Gone;
                 }
-                let (name, entry) = (node.name.clone(), self.learn(node, out));
-                let gone = entry.standing == Listing::Gone;
+                let (name, gone) = (node.name.clone(), node.entry.standing == Listing::Gone);
+                let entry = self.learn(node, out);
                 events.push(Event::ListChanges(vec![entry]));
                 if gone {
                     self.node_gone(now, &name, events, out);
@@ -49,6 +49,9 @@
                 let uids: BTreeSet<&str> = held.iter().map(|(_, held)| held.uid.as_str()).collect();
                 self.attempts.holds(now, &node, &uids, &names);
                 let Some(known) = self.nodes.0.get_mut(&node) else { return };
+                if !known.is_known() {
+                    events.extend(known.entry.clone().map(|entry| Event::ListChanges(vec![entry])));
+                }
                 (known.standing, known.heard) = (Standing::Watched, now);
                 known.pods.retain(|name, _| names.contains(name));
                 for (name, held) in held {
@@ -103,17 +106,20 @@
         }
     }
 
-    pub(super) fn learn(
-        &mut self,
-        node: words::Listed,
-        out: &mut Vec<Output>,
-    ) -> tidespur_policy::interface::Entry {
+    /// A line of the list, as the policy is to know it: a node that has not said what it holds is offered nothing. Guards
+    /// against a planner that begins, or a fleet that returns, and offers before it knows what runs there. Harm: a node
+    /// whose watch can't be opened gets nothing though it might answer offers.
+    pub(super) fn learn(&mut self, node: words::Listed, out: &mut Vec<Output>) -> Entry {
         self.machines.learn(node.entry.machine, &node.name);
         if self.nodes.list(&node.name, &node.address, &node.zone) {
             out.push(Output::WatchNode(node.name.clone(), node.address));
         }
         if let Some(known) = self.nodes.0.get_mut(&node.name) {
             known.listed = node.entry.standing != Listing::Gone;
+            known.entry = Some(node.entry.clone());
+            if !known.is_known() {
+                return Entry { standing: Listing::Gone, ..node.entry };
+            }
         }
         node.entry
     }
--- a/crates/planner/src/nodes.rs
+++ b/crates/planner/src/nodes.rs
@@ -3,6 +3,7 @@
 use crate::words::AtNode;
 use std::collections::BTreeMap;
 use tidespur_link::{End, Found};
+use tidespur_policy::interface::Entry;
 
 /// How the watch on a node stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,10 +40,19 @@
     pub heard: f64,
     /// The register lists it.
     pub listed: bool,
+    /// What the register says of it.
+    pub entry: Option<Entry>,
     /// What it holds, by namespace and name.
     pub pods: BTreeMap<(String, String), Held>,
 }
 
+impl Node {
+    /// Whether it has said what it holds, since this process began.
+    pub fn is_known(&self) -> bool {
+        self.heard.is_finite()
+    }
+}
+
 /// All nodes, by name.
 #[derive(Debug, Default)]
 pub struct Nodes(pub BTreeMap<String, Node>);
@@ -63,6 +73,7 @@
                     standing: Standing::Unheard,
                     heard: f64::NEG_INFINITY,
                     listed: true,
+                    entry: None,
                     pods: BTreeMap::new(),
                 };
                 self.0.insert(name.to_owned(), node);
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -164,6 +164,9 @@
         let node = names.of(*machine).unwrap_or("");
         let zone = nodes.0.get(node).map_or("", |node| node.zone.as_str());
         let (code, short) = match *bar {
+            Bar::Unlisted if nodes.0.get(node).is_some_and(|node| node.listed && !node.is_known()) => {
+                (Code::Unheard, 0.0)
+            }
             Bar::Unlisted => (Code::Unlisted, 0.0),
             Bar::Draining => (Code::Draining, 0.0),
             Bar::Kind => (Code::WrongKind, 0.0),
--- /dev/null
+++ b/crates/planner/tests/asked_first.rs
@@ -0,0 +1,103 @@
+//! A node is asked what it holds before anything is offered to it.
+
+use serde_json::{Value, json};
+use tidespur_api::task::Ask;
+use tidespur_config::{DEFAULT, parse};
+use tidespur_link::{ToEdge, ToPlanner};
+use tidespur_planner::core::{Core, Input, Output};
+use tidespur_waiting::Code;
+
+fn node(name: &str) -> Value {
+    json!({"metadata": {"name": name, "labels": {"node.kubernetes.io/instance-type": "std-24"},
+        "annotations": {"node.tidespur.dev/address": format!("{name}:1")}},
+        "status": {"allocatable": {"cpu": "24", "memory": "48Gi"}}})
+}
+
+struct World {
+    core: Core,
+    now: f64,
+}
+
+impl World {
+    /// A planner with a list of these nodes, none of them heard, and one task.
+    fn new(nodes: &[&str]) -> Self {
+        let core = Core::new(parse("built-in", DEFAULT).unwrap(), 0, "", 1).unwrap();
+        let mut world = Self { core, now: 100.0 };
+        let out = world.step(vec![Input::ListWhole(nodes.iter().map(|name| node(name)).collect())]);
+        let watched = out.iter().filter(|output| matches!(output, Output::WatchNode(..))).count();
+        assert_eq!(watched, nodes.len(), "each is asked");
+        let ask = Ask {
+            uid: "u".into(),
+            name: "n".into(),
+            tenant: "default".into(),
+            class: "slot-abgleich".into(),
+            service: "default/s".into(),
+            cores: 1.0,
+            memory: 1.0,
+            ..Ask::default()
+        };
+        let go = ToPlanner::Go { uid: "u".into(), within: 60.0 };
+        world.step(vec![Input::Edge(1, ToPlanner::Place(ask)), Input::Edge(1, go)]);
+        world
+    }
+
+    fn step(&mut self, inputs: Vec<Input>) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.core.step(self.now, inputs, &mut out);
+        out
+    }
+
+    /// Lets seconds pass, these nodes being heard; what is offered where, and why the task waits.
+    fn pass(&mut self, seconds: u32, heard: &[&str]) -> (Vec<String>, Vec<Code>) {
+        let (mut offers, mut reasons) = (Vec::new(), Vec::new());
+        for _ in 0..seconds * 10 {
+            self.now += 0.1;
+            let mut inputs: Vec<Input> =
+                heard.iter().map(|node| Input::NodeHeard((*node).to_owned())).collect();
+            inputs.push(Input::Timer(0));
+            for output in self.step(inputs) {
+                match output {
+                    Output::Offer { node, .. } => offers.push(node),
+                    Output::Edge(_, ToEdge::Waits(words)) => {
+                        reasons.extend(
+                            words.into_iter().flat_map(|word| word.diagnosis.bars.clone().into_keys()),
+                        );
+                    }
+                    _ => {}
+                }
+            }
+        }
+        (offers, reasons)
+    }
+}
+
+#[test]
+fn nothing_is_offered_to_a_node_that_has_not_said_what_it_holds() {
+    let mut world = World::new(&["a", "b"]);
+    let (offers, reasons) = world.pass(5, &[]);
+    assert_eq!(offers, [""; 0], "neither has been heard");
+    assert!(reasons.contains(&Code::Unheard), "{reasons:?}");
+    // Changes of the list change nothing of that.
+    world.step(vec![Input::ListChange(node("a"), false), Input::NodeDown("a".into(), true)]);
+    world.step(vec![Input::ListWhole(vec![node("a"), node("b")])]);
+    assert_eq!(world.pass(2, &[]).0, [""; 0]);
+    let out = world.step(vec![Input::NodeHolds("b".into(), vec![])]);
+    let offered = out.iter().any(|output| matches!(output, Output::Offer { node, .. } if node == "b"));
+    assert!(offered || world.pass(2, &["b"]).0 == ["b"], "the one that was heard");
+}
+
+#[test]
+fn a_node_once_heard_is_offered_work_also_while_its_watch_is_broken() {
+    let mut world = World::new(&["a"]);
+    world.step(vec![Input::ListChange(
+        json!({"metadata": node("a")["metadata"], "spec": {"unschedulable": true},
+        "status": node("a")["status"]}),
+        false,
+    )]);
+    world.step(vec![Input::NodeHolds("a".into(), vec![])]);
+    assert_eq!(world.pass(1, &["a"]).0, [""; 0], "it drains");
+    world.step(vec![Input::NodeDown("a".into(), false)]);
+    let out = world.step(vec![Input::ListChange(node("a"), false)]);
+    let offered = out.iter().any(|output| matches!(output, Output::Offer { .. }));
+    assert!(offered || world.pass(2, &[]).0 == ["a"], "its troubles are the policy's matter");
+}
--- a/crates/waiting/src/reason.rs
+++ b/crates/waiting/src/reason.rs
@@ -47,6 +47,8 @@
     NoList, Register, "no list of nodes yet";
     /// The node is not listed any more.
     Unlisted, Register, "not listed, or gone";
+    /// The node is listed and has not said what it holds since the planner began.
+    Unheard, Node, "has not said yet what it holds";
     /// The node drains.
     Draining, Policy, "draining";
     /// The class needs another kind.
