A node that left the list before it was heard is offered nothing; counting costs nothing elsewhere

Found on reading the change again: the first word of a node that the register has taken off its list told the policy the last line of the list, so work was offered there (new test, fails without the condition in take.rs). And every voter copied the ledger's names five times a second, though only who holds the lease needs them.

--- a/crates/edge/src/count.rs
+++ b/crates/edge/src/count.rs
@@ -26,8 +26,11 @@
                 Ok(planners) => planners.iter().map(|(&id, linked)| (id, linked.name.clone())).collect(),
                 Err(_) => return,
             };
-            let (counted, left) = (voter.noted(COUNTED), self.left());
             let token = voter.may_act(FLEET);
+            let (counted, left) = match token {
+                Some(_) => (voter.noted(COUNTED), self.left()),
+                None => Default::default(),
+            };
             let seen = Seen { token, linked: &linked, counted: &counted, left: &left };
             let mut out = Vec::new();
             sharers.step(clock::now(), &seen, &mut out);
--- a/crates/planner/src/core/take.rs
+++ b/crates/planner/src/core/take.rs
@@ -49,7 +49,7 @@
                 let uids: BTreeSet<&str> = held.iter().map(|(_, held)| held.uid.as_str()).collect();
                 self.attempts.holds(now, &node, &uids, &names);
                 let Some(known) = self.nodes.0.get_mut(&node) else { return };
-                if !known.is_known() {
+                if !known.is_known() && known.listed {
                     events.extend(known.entry.clone().map(|entry| Event::ListChanges(vec![entry])));
                 }
                 (known.standing, known.heard) = (Standing::Watched, now);
--- a/crates/planner/tests/asked_first.rs
+++ b/crates/planner/tests/asked_first.rs
@@ -86,6 +86,16 @@
     assert!(offered || world.pass(2, &["b"]).0 == ["b"], "the one that was heard");
 }
 
+#[test]
+fn a_node_that_left_the_list_before_it_was_heard_is_offered_nothing() {
+    let mut world = World::new(&["a", "b"]);
+    world.step(vec![Input::ListWhole(vec![node("b")])]);
+    world.step(vec![Input::NodeHolds("a".into(), vec![])]);
+    assert_eq!(world.pass(2, &["a"]).0, [""; 0]);
+    world.step(vec![Input::ListChange(node("a"), false)]);
+    assert_eq!(world.pass(2, &["a"]).0, ["a"], "it is back on the list");
+}
+
 #[test]
 fn a_node_once_heard_is_offered_work_also_while_its_watch_is_broken() {
     let mut world = World::new(&["a"]);
