Tests that hold the program wait until all that was done has come to it

Cause: on a busy machine the system carries a close to the other end only after SIGCONT; nothing that says 'gone' has come to the program then, and the order that the tests are named after was hoped for, not forced. Ruled out: the gateway. The tests ask for no less: the same assertions, over an order that is sure.

--- a/crates/planner/tests/common/mod.rs
+++ b/crates/planner/tests/common/mod.rs
@@ -2,7 +2,6 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 mod system;
-
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -154,10 +153,10 @@
 
     /// Waits until the program's log tells this.
     pub fn tells(&self, what: &str) {
-        until(what, || self.log.lock().unwrap().contains(what));
+        until(what, || self.log.lock().unwrap().contains(what))
     }
 
-    /// Holds the loop: all that is done meanwhile it finds at once, in this order, when it goes on.
+    /// Holds the loop: what is done meanwhile it finds at once, in this order, when it goes on.
     pub fn held<T>(&self, act: impl FnOnce() -> T) -> T {
         let stat = format!("/proc/{}/stat", self.child.id());
         self.signal("-STOP");
@@ -166,6 +165,8 @@
             stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
         });
         let done = act();
+        // On a busy machine the system may carry it there only later: then nothing would be forced.
+        until("all of it has come", || !on_its_way(self.child.id(), self.at));
         self.signal("-CONT");
         done
     }
--- a/crates/planner/tests/common/system.rs
+++ b/crates/planner/tests/common/system.rs
@@ -1,6 +1,7 @@
 //! What the system tells of a process.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// Connections that a process is making, by the system's own tables.
 pub fn dials(pid: u32) -> usize {
@@ -31,3 +32,39 @@
     }
     all.into_values().collect()
 }
+
+/// Whether something to a process is still on its way: bytes, an end or a connection that its peers' systems have sent and
+/// that were not acknowledged. `at` is where it listens.
+pub fn on_its_way(pid: u32, at: SocketAddr) -> bool {
+    let mut own: Vec<String> = sockets(pid).into_iter().map(|(.., local)| local).collect();
+    own.extend(written(at));
+    let table = std::fs::read_to_string(format!("/proc/{pid}/net/tcp")).unwrap();
+    table.lines().skip(1).any(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let field = |n: usize| fields.get(n).copied().unwrap_or("");
+        // A connection that is being made, or an end that was not acknowledged.
+        let open = ["02", "04", "09", "0B"].contains(&field(3));
+        own.iter().any(|own| own == field(2)) && (open || !field(4).starts_with("00000000:"))
+    })
+}
+
+/// An address as the system's table writes it.
+fn written(at: SocketAddr) -> Option<String> {
+    let SocketAddr::V4(at) = at else { return None };
+    let ip = u32::from_le_bytes(at.ip().octets());
+    Some(format!("{ip:08X}:{:04X}", at.port()))
+}
+
+/// How a process's end of the connection from `peer` stands in the system's own table: its state (`01` is established), and
+/// the bytes that lie unread; `None` where it is no more.
+pub fn unread(pid: u32, peer: SocketAddr) -> Option<(String, usize)> {
+    let remote = written(peer)?;
+    let table = std::fs::read_to_string(format!("/proc/{pid}/net/tcp")).unwrap();
+    table.lines().skip(1).find_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let here = fields.get(2) == Some(&remote.as_str());
+        let bytes =
+            fields.get(4).and_then(|queues| usize::from_str_radix(queues.split_once(':')?.1, 16).ok());
+        here.then(|| (fields[3].to_owned(), bytes.unwrap_or(0)))
+    })
+}
--- a/crates/planner/tests/gone.rs
+++ b/crates/planner/tests/gone.rs
@@ -8,10 +8,17 @@
 use common::*;
 use machine::*;
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 
 type Leave = fn(TcpStream);
 
+/// Waits until a close or a reset of a client has come to the program's socket: on a busy machine the system may carry it
+/// there only later, and the order would not be forced.
+fn arrived(scheduler: &Scheduler, client: SocketAddr) {
+    let established = || unread(scheduler.child.id(), client).is_some_and(|(state, _)| state == "01");
+    until("its end has come", || !established());
+}
+
 /// However a client leaves.
 const WAYS: [(&str, Leave); 3] = [
     ("closes", drop),
@@ -46,11 +53,13 @@
     for (way, leave) in WAYS {
         let (scheduler, mut machine, mut owner, connection) = fresh(&format!("gone-{way}"));
         let mut gone = greeted(&scheduler);
+        let client = gone.local_addr().unwrap();
         scheduler.held(|| {
             // A word on it makes the connection one that carries a set-up at once.
             machine.says(connection, &message(6, 5, &[]));
             gone.write_all(&set_up(6)).unwrap();
             leave(gone);
+            arrived(&scheduler, client);
         });
         only(&mut machine, &mut owner);
     }
@@ -64,7 +73,12 @@
         machine.says(connection, &message(6, 5, &[]));
         let set_ups: Vec<u8> = (100..170).flat_map(set_up).collect();
         let cancels: Vec<u8> = (100..170).flat_map(|id| message(12, id, &[(222, &[16])])).collect();
-        gone.write_all(&[set_ups, cancels].concat()).unwrap();
+        let all = [set_ups, cancels].concat();
+        gone.write_all(&all).unwrap();
+        let client = gone.local_addr().unwrap();
+        until("all of it has come", || {
+            unread(scheduler.child.id(), client).is_some_and(|(_, bytes)| bytes == all.len())
+        });
     });
     only(&mut machine, &mut owner);
 }
@@ -77,7 +91,9 @@
         machine.says(connection, &message(6, 5, &[]));
         // More than one read takes in.
         gone.write_all(&(100..400).flat_map(set_up).collect::<Vec<u8>>()).unwrap();
+        let client = gone.local_addr().unwrap();
         drop(gone);
+        arrived(&scheduler, client);
     });
     only(&mut machine, &mut owner);
 }
@@ -109,7 +125,9 @@
             machines[1 - n].says(other, &message(6, 6, &[]));
         }
         machines[n].says(connection, &message(12, 6, &[(222, &[34]), (201, b"lack_cpu")]));
+        let client = gone.local_addr().unwrap();
         drop(gone);
+        arrived(&scheduler, client);
     });
     owner.write_all(&set_up(9_999)).unwrap();
     assert_eq!(either(&mut machines).2, 9_999, "a second attempt began for a client that has gone");
@@ -146,7 +164,9 @@
         drop(listener.accept().unwrap());
         // The system tries again, and the connection is made while the loop is held.
         let dialled = listener.accept().unwrap().0;
+        let client = gone.local_addr().unwrap();
         drop(gone);
+        arrived(&scheduler, client);
         TcpStream::from(dialled)
     });
     dialled.set_read_timeout(Some(PATIENCE)).unwrap();
