--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,6 +10,8 @@
 
 # The board hears of the replacement after this time (notice_s = 2 to 4.3 s, add_s = 0.6 to 2.2 s).
 NOTICE = 3.0
+# Another machine starts at the address after this time, in seconds.
+REUSE = 1.0
 # An owner waits this long before it asks again for a task that must not run twice and may run (checkAfterS).
 CHECK_AFTER = 3.0
 # How long a task runs, in seconds.
@@ -39,10 +41,12 @@
         if trouble:
             victim = machines[0]
             victim.die()
+            await asyncio.sleep(REUSE)
             successor = Machine(record, "s-9", life=lambda parameters: LIFE)
             await successor.start(victim.port)
             machines.append(successor)
             record(f"s-9 listens at {successor.address}, the address of {victim.name}")
+            successor_started_at = time.time()
         await asyncio.sleep(0.3)
         tasks = [0x1000 + n for n in range(TASKS)]
         for n, task in enumerate(tasks):
@@ -50,7 +54,7 @@
             await asyncio.sleep(0.05)
         await asyncio.sleep(started + NOTICE - time.monotonic())
         if trouble:
-            await board.tell([victim.entry("Gone"), successor.entry(started_at=time.time() - NOTICE)])
+            await board.tell([victim.entry("Gone"), successor.entry(started_at=successor_started_at)])
         await asyncio.sleep(CHECK_AFTER + 0.2)
 
         # What was released to the owner as lost, and runs all the same, is handed to the scheduler.
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -52,7 +52,6 @@
     machines = [Machine(record, f"s-{n}", usable=lambda parameters: not parameters[DESCRIPTION].startswith(b"?"))
                 for n in range(12)]
     for machine in machines:
-        machine.logs_errors = False
         await machine.start()
     await board.tell([machine.entry() for machine in machines], reset=True)
     scheduler = Scheduler(record, board, memory_mb=MEMORY_MB)
--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -228,7 +228,7 @@
         if writer:
             writer.write(release(task, 16))
 
-    async def vanish(self):
+    def vanish(self):
         """The machine vanishes: its open connections stay open and silent, new ones never come up, its tasks are cut."""
         ended = list(self.standing)
         self.standing.clear()
@@ -246,7 +246,7 @@
         self.record(f"{self.name} vanishes; cut: {' '.join(f'{task:016x}' for task in ended) or 'nothing'}")
         return ended
 
-    def make_room(self):
+    def free_address(self):
         """Frees the address of a machine that has vanished, for another machine."""
         self.filler.close()
         self.silent.close()
