Review: the scripts end the scheduler when they are told to end

Cause: a script that was ended by a signal left its scheduler running. Change: SIGTERM and SIGINT end the case with code 2 and its processes; a machine without Python gives code 2.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,4 @@
 #!/bin/sh
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+command -v python3 >/dev/null || exit 2
 exec python3 "$(dirname "$0")/case.py"
--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -418,14 +418,17 @@
     record(f"case {os.path.basename(folder)}, {'with' if trouble else 'without'} the disruption")
 
     async def bounded():
-        return await asyncio.wait_for(case(record, trouble), timeout)
+        task = asyncio.ensure_future(case(record, trouble))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, timeout)
 
     try:
         broken = asyncio.run(bounded())
         code = 1 if broken else 0
-    except Exception as error:  # The case could not run.
+    except (Exception, asyncio.CancelledError) as error:  # The case could not run.
         record(f"could not run: {error!r}")
         code = 2
     record({0: "the rule held", 1: "THE RULE WAS BROKEN", 2: "no result"}[code])
-    print(open(record.file.name).read().splitlines()[-1].strip())
+    print({0: "held", 1: "broken", 2: "no result"}[code])
     raise SystemExit(code)
