Gateway: tasks and connections at a reused address are the new machine's

Callers saw: after a machine was replaced at its address, tasks that the new machine had accepted were released as failed (41) though they ran, and after their owners had handed them over, their ends never came.

Cause: a connection kept the id of the machine that it was dialled under, and ends were matched by that id. The endpoint list lags behind, so connections under the old id lead to the new machine; once the list showed it, its ends on these connections were ignored (gateway/upstream_messages.rs, is_placed_here; pool/endpoints.rs, fail_replaced_machines).

Change: once the list names a machine at the address of one that is gone, the connections to the address are its own; a health check closes those that are silent. Tasks accepted on connections dialled since its start stay placed (policy: TaskMoved), the others are lost as before. A machine whose address becomes known while it holds a task is dialled anew, as machines repeat ends on a new connection. Counters: moved, unmatched_ends.

Two tests of placed_tasks.rs listed a successor that had started in 1970, before the task was placed at the machine that it replaced, which can't be; it starts after that now. Their assertions are as they were.

--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -35,8 +35,12 @@
     pub errors: u64,
     /// Messages of machines that match no request.
     pub unmatched: u64,
+    /// Ends of placed tasks, sent by another machine than the task's and ignored; also counted in `unmatched`.
+    pub unmatched_ends: u64,
     /// Placed tasks that ended, lost ones included.
     pub ended: u64,
+    /// Placed tasks that turned out to be at the machine that has the address of theirs now.
+    pub moved: u64,
     /// Placed tasks lost because their machine failed.
     pub lost: u64,
     /// Client connections closed by the gateway.
--- a/crates/gateway/src/gateway/endpoints.rs
+++ b/crates/gateway/src/gateway/endpoints.rs
@@ -35,12 +35,14 @@
             endpoints.push(listed.endpoint.clone());
             self.endpoint_listed(now, listed, outputs);
         }
-        self.pool.fail_replaced_machines(&mut pool_events);
         for machine in withdrawn {
             self.with_pool(outputs, |pool, actions| {
                 pool.withdraw_unsent(now, machine, actions, &mut pool_events);
             });
         }
+        self.with_pool(outputs, |pool, actions| {
+            pool.replace_machines(now, actions, &mut pool_events);
+        });
         self.handle_pool_events(now, pool_events, outputs);
         self.events.push(if event.is_complete_list {
             Event::EndpointsListed(endpoints)
--- a/crates/gateway/src/gateway/machines.rs
+++ b/crates/gateway/src/gateway/machines.rs
@@ -2,10 +2,10 @@
 
 use super::{Gateway, Output};
 use crate::UpstreamId;
-use crate::message::{Message, cause};
+use crate::message::{Message, RequestId, cause};
 use crate::pool::{ConnectionEnd, Pool, PoolAction, PoolEvent};
 use crate::request_table::RequestState;
-use tidespur_policy::interface::{AttemptOutcome, FailureCause, MachineId, Seconds};
+use tidespur_policy::interface::{AttemptOutcome, Event, FailureCause, MachineId, Seconds};
 
 impl Gateway {
     /// Calls the pool, and turns the actions that it returns into outputs.
@@ -75,17 +75,84 @@
                     self.attempt_ended(id, AttemptOutcome::NeverSent, None);
                 }
                 PoolEvent::MachineFailed(machine) => {
-                    let name = self
-                        .machines
-                        .get(&machine)
-                        .map_or("", |(name, _)| name.as_str());
+                    let name = self.machine_name(machine);
                     outputs.push(Output::Log(format!("machine {name} has failed")));
                     self.machine_failed(machine, now, outputs);
                 }
+                PoolEvent::MachineReplaced {
+                    machine,
+                    successor,
+                    offers,
+                } => self.machine_replaced(now, machine, successor, &offers, outputs),
             }
         }
     }
 
+    fn machine_name(&self, machine: MachineId) -> &str {
+        self.machines
+            .get(&machine)
+            .map_or("", |(name, _)| name.as_str())
+    }
+
+    /// Handles a machine that is gone and whose address another one has. Tasks that were accepted on a connection
+    /// dialled since the successor's start run there, though they were offered under the id of the machine that is
+    /// gone; the others are lost.
+    fn machine_replaced(
+        &mut self,
+        now: Seconds,
+        machine: MachineId,
+        successor: MachineId,
+        offers: &[RequestId],
+        outputs: &mut Vec<Output>,
+    ) {
+        let started_at = self
+            .machines
+            .get(&successor)
+            .and_then(|(_, started_at)| *started_at);
+        let moved: Vec<RequestId> = self
+            .requests
+            .placed_at_machine(machine)
+            .into_iter()
+            .filter(|&id| self.is_accepted_since(id, started_at))
+            .collect();
+        for &id in &moved {
+            self.requests.move_placed(id, successor);
+            self.pool.task_ended(machine);
+            self.pool.task_placed(now, successor);
+        }
+        self.counts.moved += moved.len() as u64;
+        for id in offers.iter().chain(&moved) {
+            let task = self.requests.get(*id).map(|request| request.task);
+            let event = task.map(|task| Event::TaskMoved {
+                task,
+                machine: successor,
+            });
+            self.events.extend(event);
+        }
+        let lost = self.requests.placed_at_machine(machine).len();
+        if lost + moved.len() > 0 {
+            outputs.push(Output::Log(format!(
+                "machine {} was replaced at its address by {}, which has {} of its tasks; {lost} are lost",
+                self.machine_name(machine),
+                self.machine_name(successor),
+                moved.len()
+            )));
+        }
+        self.machine_failed(machine, now, outputs);
+    }
+
+    /// Whether a task was accepted on a connection that was dialled at this time or later.
+    fn is_accepted_since(&self, id: RequestId, time: Option<Seconds>) -> bool {
+        let Some(RequestState::Placed {
+            dialled_at: Some(dialled_at),
+            ..
+        }) = self.requests.get(id).map(|request| request.state)
+        else {
+            return false;
+        };
+        time.is_some_and(|time| dialled_at >= time)
+    }
+
     /// Removes the tasks that were placed on a machine at or before `until`, and tells their owners that they failed.
     pub(super) fn machine_failed(
         &mut self,
--- a/crates/gateway/src/gateway/set_ups.rs
+++ b/crates/gateway/src/gateway/set_ups.rs
@@ -105,6 +105,7 @@
             machine,
             attempt: 0,
             since: now,
+            dialled_at: None,
         };
         request.attempts = 1;
         self.requests.add(id, request);
--- a/crates/gateway/src/gateway/upstream_messages.rs
+++ b/crates/gateway/src/gateway/upstream_messages.rs
@@ -27,7 +27,7 @@
         let is_attempt_here = self.requests.is_attempt_on(id, upstream);
         let is_placed_here = matches!(
             state,
-            Some(RequestState::Placed { machine: placed_on, .. }) if placed_on == machine
+            Some(RequestState::Placed { machine, .. }) if self.pool.may_lead_to(upstream, machine)
         );
         match message.kind {
             MessageKind::Accepted if is_attempt_here => {
@@ -49,7 +49,12 @@
                 )));
             }
             MessageKind::HealthCheckReply | MessageKind::Progress | MessageKind::ReleaseAck => {}
-            _ => self.counts.unmatched += 1,
+            _ => {
+                let is_end = message.kind == MessageKind::Release
+                    && matches!(state, Some(RequestState::Placed { .. }));
+                self.counts.unmatched += 1;
+                self.counts.unmatched_ends += u64::from(is_end);
+            }
         }
     }
 
@@ -87,6 +92,7 @@
                 machine,
                 attempt: attempt.number,
                 since: now,
+                dialled_at: self.pool.dialled_at(upstream),
             },
         );
         self.pool.task_placed(now, machine);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,18 +6,22 @@
 //! task, one connection to it is kept open and health-checked, as a machine that vanished sends nothing.
 
 mod action;
+mod address_reuse;
 mod capacity;
 mod endpoints;
 mod lifecycle;
 mod maintenance;
 mod offers;
+mod peer;
 
 pub use action::{PoolAction, PoolEvent};
 
+use peer::{HalfClosed, IdleClass, Peer, Upstream};
+
 use crate::UpstreamId;
 use crate::message::RequestId;
 use std::cell::Cell;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use tidespur_policy::interface::{MachineId, Seconds};
 
 /// A connection on which nothing was received for this long carries no new offer. Another one is dialled; if that
@@ -99,72 +103,6 @@
     Other,
 }
 
-#[derive(Debug)]
-struct Upstream {
-    machine: MachineId,
-    /// When it was dialled; `None` once it is open.
-    dialling_since: Option<Seconds>,
-    /// Offers without an answer: at most one, unless there was no capacity for another connection.
-    pending_offers: Vec<RequestId>,
-    /// Offers that are not sent yet, as the connection is not open, is blocked, or their clients are being checked.
-    /// Each is kept separately, so that a cancelled one is never sent.
-    unsent_offers: Vec<(RequestId, Vec<u8>)>,
-    /// Whether the machine accepts no bytes at present.
-    blocked: bool,
-    /// The offer of which only the first bytes were sent.
-    partially_written: Option<RequestId>,
-    /// Time of the last received message, or of the opening if there was none.
-    last_received_at: Seconds,
-    /// Time of the last offer or message about a task, or of the dial.
-    last_used_at: Seconds,
-    health_check_sent_at: Option<Seconds>,
-    opened_at: Seconds,
-    /// Class and sort key in the pool's index of idle connections; `None` while it is in use.
-    idle_entry: Option<(IdleClass, u64)>,
-}
-
-/// Why an idle connection is kept, in the order of replacement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum IdleClass {
-    /// For reuse; sorted by its last use.
-    Spare,
-    /// As the only healthy connection to a machine that holds a placed task; sorted by the time when it was opened.
-    Required,
-}
-
-impl Upstream {
-    fn is_idle(&self) -> bool {
-        self.dialling_since.is_none() && self.pending_offers.is_empty()
-    }
-
-    /// Whether it is open and no health check is unanswered.
-    fn is_healthy(&self) -> bool {
-        self.dialling_since.is_none() && self.health_check_sent_at.is_none()
-    }
-}
-
-#[derive(Debug, Default)]
-struct Peer {
-    /// Empty while it is unknown, and once another machine has it.
-    address: String,
-    /// Whether the machine has left the endpoint list.
-    is_gone: bool,
-    /// Connections that are not half-closed.
-    upstreams: BTreeSet<UpstreamId>,
-    /// Number of tasks placed on it.
-    placed_tasks: usize,
-    /// Time of the last message or successful dial. Reset when the machine becomes known and when its first task is
-    /// placed.
-    last_received_at: Seconds,
-    /// Consecutive failed dials, refused ones included.
-    consecutive_failures: u32,
-    consecutive_refusals: u32,
-    /// Earliest time of the next dial that maintenance starts.
-    next_dial_at: Seconds,
-    /// Messages to send once a connection opens.
-    queued_messages: VecDeque<Vec<u8>>,
-}
-
 /// All connections to machines.
 #[derive(Debug)]
 pub struct Pool {
@@ -173,8 +111,8 @@
     /// Index of the idle connections, in the order of replacement.
     idle: BTreeSet<(IdleClass, u64, UpstreamId)>,
     connections_examined: Cell<u64>,
-    /// Connections half-closed here that their machines have not closed: machine, and time of the half-close.
-    half_closed: BTreeMap<UpstreamId, (MachineId, Seconds)>,
+    /// Connections half-closed here that their machines have not closed.
+    half_closed: BTreeMap<UpstreamId, HalfClosed>,
     last_upstream_id: u64,
     /// When the event loop last resumed after a stall; a message read then may have arrived long before.
     stalled_at: Seconds,
@@ -207,11 +145,42 @@
 
     /// Machine at the other end of a connection; `None` once the connection is closed.
     pub fn machine(&self, upstream: UpstreamId) -> Option<MachineId> {
-        let half_closed = self.half_closed.get(&upstream).map(|(machine, _)| *machine);
+        self.endpoint_of(upstream).map(|(machine, _)| machine)
+    }
+
+    /// Whether the process at the other end of a connection can be this machine: the connection is the machine's, or
+    /// was dialled at the address that the machine has now. While the endpoint list lags behind, the connections to an
+    /// address are still those of the machine that had it before.
+    pub fn may_lead_to(&self, upstream: UpstreamId, machine: MachineId) -> bool {
+        let Some((listed_machine, address)) = self.endpoint_of(upstream) else {
+            return false;
+        };
+        listed_machine == machine
+            || self
+                .peers
+                .get(&machine)
+                .is_some_and(|peer| peer.address == address)
+    }
+
+    /// When an open connection was dialled; `None` once it is half-closed or closed.
+    pub fn dialled_at(&self, upstream: UpstreamId) -> Option<Seconds> {
         self.upstreams
             .get(&upstream)
-            .map(|upstream| upstream.machine)
-            .or(half_closed)
+            .map(|upstream| upstream.dialled_at)
+    }
+
+    /// Machine and address at the other end of a connection, half-closed ones included.
+    fn endpoint_of(&self, upstream: UpstreamId) -> Option<(MachineId, &str)> {
+        let open = self
+            .upstreams
+            .get(&upstream)
+            .map(|upstream| (upstream.machine, upstream.address.as_str()));
+        let half_closed = || {
+            self.half_closed
+                .get(&upstream)
+                .map(|half_closed| (half_closed.machine, half_closed.address.as_str()))
+        };
+        open.or_else(half_closed)
     }
 
     /// Number of connections, including those that are half-closed or being dialled.
--- a/crates/gateway/src/pool/action.rs
+++ b/crates/gateway/src/pool/action.rs
@@ -24,8 +24,8 @@
     Close(UpstreamId),
 }
 
-/// The end of an offer, or the failure of a machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The end of an offer, or the failure or replacement of a machine.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PoolEvent {
     /// The dial for this offer failed, so no byte of it was sent.
     ConnectFailed(RequestId),
@@ -36,4 +36,13 @@
     Interrupted(RequestId),
     /// The machine has failed, so the tasks placed on it are lost.
     MachineFailed(MachineId),
+    /// The machine is gone, and another one has its address and its connections.
+    MachineReplaced {
+        /// The machine that is gone.
+        machine: MachineId,
+        /// The machine that has its address.
+        successor: MachineId,
+        /// Offers that are pending on those connections.
+        offers: Vec<RequestId>,
+    },
 }
--- a/crates/gateway/src/pool/capacity.rs
+++ b/crates/gateway/src/pool/capacity.rs
@@ -1,6 +1,6 @@
 //! Connection capacity: dials, and replaces idle connections when the limit is reached.
 
-use super::{IdleClass, MAX_HALF_CLOSED, Pool, PoolAction, Upstream};
+use super::{HalfClosed, IdleClass, MAX_HALF_CLOSED, Pool, PoolAction, Upstream};
 use crate::UpstreamId;
 use crate::request_table::micros;
 use tidespur_policy::interface::{MachineId, Seconds};
@@ -33,7 +33,7 @@
             let oldest = self
                 .half_closed
                 .iter()
-                .min_by(|a, b| a.1.1.total_cmp(&b.1.1))
+                .min_by(|a, b| a.1.since.total_cmp(&b.1.since))
                 .map(|(&id, _)| id);
             let Some(id) = oldest else { return false };
             self.half_closed.remove(&id);
@@ -61,9 +61,11 @@
         }
         self.last_upstream_id += 1;
         let id = UpstreamId(self.last_upstream_id);
-        actions.push(PoolAction::Dial(id, address));
+        actions.push(PoolAction::Dial(id, address.clone()));
         let upstream = Upstream {
             machine,
+            address,
+            dialled_at: now,
             dialling_since: Some(now),
             pending_offers: Vec::new(),
             unsent_offers: Vec::new(),
@@ -94,10 +96,26 @@
         if upstream.dialling_since.is_some() {
             return actions.push(PoolAction::Close(id));
         }
-        self.half_closed.insert(id, (upstream.machine, now));
+        self.keep_reading(now, id, upstream.machine, upstream.address);
         actions.push(PoolAction::HalfClose(id));
     }
 
+    /// Adds a connection to those that are closed for writing and still read.
+    pub(super) fn keep_reading(
+        &mut self,
+        now: Seconds,
+        id: UpstreamId,
+        machine: MachineId,
+        address: String,
+    ) {
+        let half_closed = HalfClosed {
+            machine,
+            address,
+            since: now,
+        };
+        self.half_closed.insert(id, half_closed);
+    }
+
     /// Removes a connection from the pool and its indexes.
     pub(super) fn remove(&mut self, id: UpstreamId) -> Option<Upstream> {
         let upstream = self.upstreams.remove(&id)?;
--- a/crates/gateway/src/pool/endpoints.rs
+++ b/crates/gateway/src/pool/endpoints.rs
@@ -1,12 +1,12 @@
 //! Machines of the pool, from the endpoint list and from adopted tasks.
 
-use super::{MAX_UNLISTED_MACHINES, Peer, Pool, PoolEvent};
+use super::{MAX_UNLISTED_MACHINES, Peer, Pool};
 use std::collections::BTreeSet;
 use tidespur_policy::interface::{MachineId, Seconds};
 
 impl Pool {
-    /// Adds or updates a listed machine. After all endpoints of a watch event, [`Pool::fail_replaced_machines`] has to
-    /// be called.
+    /// Adds or updates a listed machine. After all endpoints of a watch event, [`Pool::replace_machines`] has to be
+    /// called.
     pub fn endpoint_listed(
         &mut self,
         now: Seconds,
@@ -21,36 +21,12 @@
         // A gone machine whose address another machine took over doesn't get it back, as the other may listen there.
         let is_replaced = is_gone && peer.address.is_empty();
         if !address.is_empty() && !is_replaced {
+            peer.needs_new_connection |= peer.placed_tasks > 0 && peer.address != address;
             peer.address = address.to_owned();
         }
         peer.is_gone = is_gone;
     }
 
-    /// Fails each machine that is gone and whose address now belongs to another machine.
-    pub fn fail_replaced_machines(&mut self, events: &mut Vec<PoolEvent>) {
-        let (gone, present): (Vec<_>, Vec<_>) =
-            self.peers.iter().partition(|(_, peer)| peer.is_gone);
-        let present_addresses: BTreeSet<&str> = present
-            .into_iter()
-            .map(|(_, peer)| peer.address.as_str())
-            .collect();
-        let with_address = gone
-            .into_iter()
-            .filter(|(_, peer)| !peer.address.is_empty());
-        let replaced: Vec<MachineId> = with_address
-            .filter(|(_, peer)| present_addresses.contains(peer.address.as_str()))
-            .map(|(&id, _)| id)
-            .collect();
-        for id in replaced {
-            if let Some(peer) = self.peers.get_mut(&id) {
-                peer.address.clear();
-                if peer.placed_tasks > 0 {
-                    events.push(PoolEvent::MachineFailed(id));
-                }
-            }
-        }
-    }
-
     /// Marks the machines as gone that a complete list doesn't contain, and returns them.
     pub fn mark_unlisted_gone(&mut self, listed: &BTreeSet<MachineId>) -> Vec<MachineId> {
         let unlisted = self
--- a/crates/gateway/src/pool/lifecycle.rs
+++ b/crates/gateway/src/pool/lifecycle.rs
@@ -28,6 +28,7 @@
         if let Some(peer) = self.peers.get_mut(&machine) {
             peer.consecutive_failures = 0;
             peer.consecutive_refusals = 0;
+            peer.needs_new_connection = false;
             peer.last_received_at = now;
             while let Some(bytes) = peer.queued_messages.pop_front() {
                 actions.push(PoolAction::Write(id, bytes));
@@ -65,13 +66,14 @@
         if !is_still_read {
             self.half_closed.remove(&id);
         }
-        let Some(upstream) = self.remove(id) else {
+        let Some(mut upstream) = self.remove(id) else {
             return;
         };
         let machine = upstream.machine;
         let was_dialling = upstream.dialling_since.is_some();
         if is_still_read {
-            self.half_closed.insert(id, (machine, now));
+            let address = std::mem::take(&mut upstream.address);
+            self.keep_reading(now, id, machine, address);
         }
         end_offers(upstream, end, events);
         if was_dialling {
--- a/crates/gateway/src/pool/maintenance.rs
+++ b/crates/gateway/src/pool/maintenance.rs
@@ -85,7 +85,7 @@
         let timed_out: Vec<UpstreamId> = self
             .half_closed
             .iter()
-            .filter(|(_, (_, since))| now - since > HALF_CLOSE_TIMEOUT)
+            .filter(|(_, half_closed)| now - half_closed.since > HALF_CLOSE_TIMEOUT)
             .map(|(&id, _)| id)
             .collect();
         for id in timed_out {
@@ -151,7 +151,8 @@
         // At capacity, machines without a connection take turns.
         let waits_for_turn =
             self.is_at_capacity() && silent_for < VISIT_INTERVAL && has_no_queued_message;
-        let needs_dial = most_recent.is_none() && !waits_for_turn
+        let needs_dial = peer.needs_new_connection
+            || most_recent.is_none() && !waits_for_turn
             || silent_for > HEALTH_CHECK_INTERVAL + HEALTH_CHECK_TIMEOUT;
         if let Some(id) = most_recent
             && !has_unanswered_check
@@ -164,7 +165,7 @@
         }
     }
 
-    fn send_health_check(
+    pub(super) fn send_health_check(
         &mut self,
         now: Seconds,
         machine: MachineId,
--- a/crates/gateway/src/request_table.rs
+++ b/crates/gateway/src/request_table.rs
@@ -116,6 +116,17 @@
         self.insert_into_indexes(id, client, state);
     }
 
+    /// Changes the machine that a placed task is on.
+    pub fn move_placed(&mut self, id: RequestId, successor: MachineId) {
+        let Some(mut state) = self.get(id).map(|request| request.state) else {
+            return;
+        };
+        if let RequestState::Placed { machine, .. } = &mut state {
+            *machine = successor;
+            self.set_state(id, state);
+        }
+    }
+
     /// Counts a new attempt and returns its number, from 0.
     pub fn count_attempt(&mut self, id: RequestId) -> u32 {
         self.requests.get_mut(&id).map_or(0, |request| {
--- a/crates/gateway/src/request_table/request.rs
+++ b/crates/gateway/src/request_table/request.rs
@@ -33,6 +33,9 @@
         attempt: u32,
         /// When it was placed, or adopted.
         since: Seconds,
+        /// When the connection was dialled on which the machine accepted it; `None` for an adopted task, whose owner
+        /// named the machine.
+        dialled_at: Option<Seconds>,
     },
 }
 
--- a/crates/gateway/tests/placed_tasks.rs
+++ b/crates/gateway/tests/placed_tasks.rs
@@ -96,7 +96,7 @@
         "a gone machine may still finish its tasks"
     );
     let text = r#"{"rev":3,"pool":{"reset":false,"instances":[{"instanceId":"new","hostPort":"127.0.1.1:9",
-        "zone":"east","machineType":"std","cell":0,"lifecycle":"Ready","startedAtMs":5}]}}"#;
+        "zone":"east","machineType":"std","cell":0,"lifecycle":"Ready","startedAtMs":1000500}]}}"#;
     harness.step(Input::EndpointsDelivered(
         tidespur_gateway::discovery::parse_event(&site(), text).unwrap(),
     ));
@@ -111,7 +111,7 @@
         let entry = |name: &str, lifecycle: &str| {
             format!(
                 r#"{{"instanceId":"{name}","hostPort":"127.0.1.1:9","zone":"east","machineType":"std",
-                "cell":0,"lifecycle":"{lifecycle}","startedAtMs":5}}"#
+                "cell":0,"lifecycle":"{lifecycle}","startedAtMs":1000500}}"#
             )
         };
         let (old, new) = (entry("s-1", "Gone"), entry("new", "Ready"));
--- a/crates/policy/src/interface/events.rs
+++ b/crates/policy/src/interface/events.rs
@@ -133,6 +133,14 @@
     TaskSubmitted(Task),
     /// This scheduler takes over a task that already runs on a machine. The run counts as attempt 0.
     TaskAdopted(Task, MachineId),
+    /// The latest attempt of this task is at another machine than the one it was offered to: at the one that has its
+    /// address now.
+    TaskMoved {
+        /// The task that was offered or placed.
+        task: TaskId,
+        /// The machine that has the task.
+        machine: MachineId,
+    },
     /// A machine has accepted the task, which is its final answer. An `AttemptEnded` event follows at the end of the
     /// attempt.
     AttemptConfirmed {
--- a/crates/policy/src/scheduler/observations.rs
+++ b/crates/policy/src/scheduler/observations.rs
@@ -9,6 +9,7 @@
         match event {
             Event::TaskSubmitted(task) => self.task_submitted(now, task),
             Event::TaskAdopted(task, machine) => self.task_adopted(now, task, machine),
+            Event::TaskMoved { task, machine } => self.task_moved(now, task, machine),
             Event::AttemptConfirmed { task, attempt } => self.attempt_confirmed(now, task, attempt),
             Event::AttemptProgressed { task, progress } => {
                 self.attempt_progressed(now, task, progress);
@@ -74,6 +75,19 @@
         self.reserve(now, id);
     }
 
+    /// Accounts an offered or placed task to another machine.
+    fn task_moved(&mut self, now: Seconds, id: TaskId, machine: MachineId) {
+        let state = self.tasks.get(&id).map(|record| record.state);
+        if !matches!(state, Some(TaskState::Offered | TaskState::Placed)) {
+            return;
+        }
+        self.release(now, id);
+        if let Some(record) = self.tasks.get_mut(&id) {
+            record.machine = machine;
+        }
+        self.reserve(now, id);
+    }
+
     fn task_cancelled(&mut self, id: TaskId) {
         let Some(record) = self.tasks.get_mut(&id) else {
             return;
--- a/crates/policy/tests/common/rule_checker.rs
+++ b/crates/policy/tests/common/rule_checker.rs
@@ -58,6 +58,15 @@
                 let observed = ObservedTask::adopted(task, *machine, now);
                 self.tasks.entry(task.id).or_insert(observed);
             }
+            Event::TaskMoved { task, machine } => {
+                if let Some(attempt) = self
+                    .tasks
+                    .get_mut(task)
+                    .and_then(|task| task.attempts.last_mut())
+                {
+                    attempt.machine = *machine;
+                }
+            }
             Event::AttemptConfirmed { task, .. } => {
                 let task = self.tasks.get_mut(task).unwrap();
                 task.answered = true;
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -8,7 +8,7 @@
 };
 use tidespur_policy::interface::{
     Action, AttemptOutcome, Class, Endpoint, EndpointStatus, Event, FailureCause, FailureDomain,
-    MachineId, Resources, RetrySafety, ServiceId, Task,
+    MachineId, Resources, RetrySafety, ServiceId, Task, TaskId,
 };
 
 const KEYED: RetrySafety = RetrySafety::IdempotencyKeyed {
@@ -188,6 +188,46 @@
     assert_eq!(sent.len(), 1);
 }
 
+/// A machine was replaced at its address, and its task is at the successor. If it were still counted at the machine
+/// that is gone, the successor's cell would get another one.
+#[test]
+fn a_moved_task_counts_at_the_machine_that_it_moved_to() {
+    let spread = Class {
+        spread_domain: Some(FailureDomain::Cell),
+        max_per_spread_domain: 1,
+        ..class(RetrySafety::Idempotent)
+    };
+    let mut checked = CheckedScheduler::new(settings(vec![spread]), 1);
+    let of_service = |id| Task {
+        service: ServiceId(7),
+        ..task(id, 0, 9.0)
+    };
+    let in_cell_0 = MachineId(0);
+    let in_cell_1 = MachineId(4);
+    let adopted = Event::TaskAdopted(of_service(1), in_cell_0);
+    let moved = Event::TaskMoved {
+        task: TaskId(1),
+        machine: in_cell_1,
+    };
+    checked.step(1.0, vec![endpoints_listed(8), adopted, moved]);
+    let actions = checked.step(1.1, vec![Event::TaskSubmitted(of_service(2))]);
+    let machine = actions.iter().find_map(|action| match action {
+        Action::Offer { machine, .. } => Some(*machine),
+        _ => None,
+    });
+    assert!(
+        machine.is_some_and(|machine| machine < in_cell_1),
+        "{machine:?}"
+    );
+    // Once it has ended, the cell of the machine that it moved to takes a task again.
+    let mut closed = ended(1, 0, AttemptOutcome::Finished);
+    if let Event::AttemptEnded { closed, .. } = &mut closed {
+        *closed = true;
+    }
+    let actions = checked.step(1.2, vec![closed, Event::TaskSubmitted(of_service(3))]);
+    assert_eq!(offers(&actions).len(), 1);
+}
+
 /// The endpoint list may already count tasks that are adopted later. When they were counted twice, machines seemed
 /// full.
 #[test]
