Gateway: what clients can use stays within the process's limit on memory

Callers saw: 20 clients that sent 300 set-ups of 15 kB each took the process over its limit of 64 MB within half a second; it was killed, and with it all that it held for usual owners.

Cause: limits.memory_mb was read by nothing, and pending requests were limited by number, not by bytes (set_ups.rs, submit).

Ruled out for this case: input queue 0, decoders 0.7 MB, offers that wait 0.7 MB, unsent bytes 0.

Change: memory_mb is divided (MemoryLimits): pending requests, placed tasks, messages read ahead, unsent bytes. Pending requests are counted in bytes; a client may take a sixteenth of what is free, so that others are served during a flood; the rest is refused at once with 42, before it reaches the policy, so a retry is harmless.

Tests that listed the parameters of a message use its iterator now, and the codec has one property more. Harness::advance no longer panics when less than a millisecond is left.

--- a/crates/gateway-net/src/config.rs
+++ b/crates/gateway-net/src/config.rs
@@ -26,8 +26,17 @@
 struct ProcessLimits {
     #[serde(rename = "sockets")]
     max_descriptors: usize,
+    #[serde(default = "default_memory_mb")]
+    memory_mb: f64,
 }
 
+/// Limit on the memory of the process where the file has none, in MB: the lowest that the platform gives.
+const fn default_memory_mb() -> f64 {
+    32.0
+}
+
+const BYTES_PER_MB: f64 = 1e6;
+
 #[derive(Deserialize)]
 struct DiscoverySnapshot {
     #[serde(default, rename = "notices")]
@@ -45,6 +54,8 @@
     pub seed: u64,
     /// Maximum number of file descriptors of the process.
     pub max_descriptors: usize,
+    /// Maximum memory of the process, in bytes.
+    pub max_memory_bytes: usize,
     /// Address of the discovery stream, `IP:PORT`.
     pub discovery_address: String,
     /// Events that the discovery stream had sent when the file was written.
@@ -70,6 +81,10 @@
 pub fn parse(text: &str) -> Result<Config, StartError> {
     let file: ConfigFile = serde_json::from_str(text)?;
     let site = file.settings.into_site()?;
+    let memory_mb = file.limits.memory_mb;
+    if memory_mb <= 0.0 {
+        return Err(StartError::InvalidMemoryLimit(memory_mb));
+    }
     let watch_events = file
         .discovery_snapshot
         .events
@@ -83,6 +98,7 @@
         listen: file.listen,
         seed,
         max_descriptors: file.limits.max_descriptors,
+        max_memory_bytes: (memory_mb * BYTES_PER_MB) as usize,
         discovery_address: file.discovery_address,
         watch_events,
         site,
--- a/crates/gateway-net/src/connection.rs
+++ b/crates/gateway-net/src/connection.rs
@@ -1,6 +1,7 @@
 //! An open connection: its socket and the state of its reader.
 
 use crate::socket::Socket;
+use crate::unsent::SharedBudget;
 use async_io::Async;
 use std::cell::{Cell, RefCell};
 use std::net::TcpStream;
@@ -30,10 +31,10 @@
 }
 
 impl Connection {
-    /// Wraps an open connection.
-    pub fn new(stream: Async<TcpStream>) -> Rc<Self> {
+    /// Wraps an open connection. Its unsent bytes count in `budget`.
+    pub fn new(stream: Async<TcpStream>, budget: SharedBudget) -> Rc<Self> {
         Rc::new(Self {
-            socket: Rc::new(Socket::new(stream)),
+            socket: Rc::new(Socket::new(stream, budget)),
             decoder: RefCell::default(),
             partial_since: Cell::new(None),
             opened_at: clock::now(),
--- a/crates/gateway-net/src/error.rs
+++ b/crates/gateway-net/src/error.rs
@@ -22,6 +22,9 @@
         "cannot parse the configuration: {0}; write the complete file again, then send SIGHUP or restart"
     )]
     ConfigMalformed(#[from] serde_json::Error),
+    /// The limit on memory is not a positive number.
+    #[error("limits.memory_mb: {0} is not a positive number of megabytes; correct it and restart")]
+    InvalidMemoryLimit(f64),
     /// A field of the settings object has a value that can't be used.
     #[error("{0}; correct this field of the settings object")]
     SiteSettings(#[from] tidespur_site_settings::SiteSettingsError),
--- a/crates/gateway-net/src/lib.rs
+++ b/crates/gateway-net/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod run;
 pub mod socket;
+pub mod unsent;
 
 pub use error::StartError;
 pub use run::run;
--- a/crates/gateway-net/src/run.rs
+++ b/crates/gateway-net/src/run.rs
@@ -14,6 +14,7 @@
 use crate::connection::Connection;
 use crate::discovery::DiscoveryAddress;
 use crate::socket::{READ_BUFFER_BYTES, Socket};
+use crate::unsent::SharedBudget;
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use smol::channel::{Receiver, Sender};
@@ -22,6 +23,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use tidespur_gateway::byte_budget::ByteBudget;
 use tidespur_gateway::input_queue::{InputQueue, StepNumber};
 use tidespur_gateway::{DownstreamId, Gateway, Input, Limits, UpstreamId};
 use tidespur_net::clock;
@@ -42,6 +44,8 @@
     closing: RefCell<VecDeque<Rc<Socket>>>,
     max_closing: usize,
     upstreams: RefCell<BTreeMap<UpstreamId, Upstream>>,
+    /// Bytes that clients have not accepted yet, of all their connections.
+    client_unsent: SharedBudget,
     /// Shared by all reads; each read is decoded before the next one.
     read_buffer: RefCell<Vec<u8>>,
     next_client_id: Cell<u64>,
@@ -78,7 +82,7 @@
         executor: Rc<LocalExecutor<'static>>,
         signals: Signals,
     ) -> Result<Rc<Self>, StartError> {
-        let limits = Limits::for_descriptors(config.max_descriptors);
+        let limits = Limits::for_process(config.max_descriptors, config.max_memory_bytes);
         let this = Rc::new(Self {
             gateway: RefCell::new(Gateway::new(config.site, limits, config.seed)?),
             executor,
@@ -91,7 +95,8 @@
             read_buffer: RefCell::new(vec![0; READ_BUFFER_BYTES]),
             next_client_id: Cell::new(0),
             wake: async_lock::Semaphore::new(0),
-            queue: RefCell::default(),
+            queue: RefCell::new(InputQueue::new(limits.memory.queued_bytes)),
+            client_unsent: Rc::new(RefCell::new(ByteBudget::new(limits.memory.unsent_bytes))),
             input_signal: smol::channel::bounded(1),
             discovery_address: Rc::new(DiscoveryAddress::new(config.discovery_address.clone())),
             name: config.name,
@@ -109,7 +114,7 @@
             .parse()
             .map_err(|_| StartError::InvalidAddress(listen))?;
         this.listener.replace(Some(Rc::new(bind::bind(address)?)));
-        tracing::info!(scheduler = this.name, %address, sockets = config.max_descriptors, "started");
+        tracing::info!(scheduler = this.name, %address, sockets = config.max_descriptors, memory = config.max_memory_bytes, "started");
         this.spawn(this.clone().handle_queue());
         this.spawn(this.clone().measure_lag());
         this.accept_task
--- a/crates/gateway-net/src/run/downstream.rs
+++ b/crates/gateway-net/src/run/downstream.rs
@@ -77,7 +77,7 @@
 
     fn accept_client(self: &Rc<Self>, stream: Async<TcpStream>, from: SocketAddr) -> StepNumber {
         let client = DownstreamId(self.next_client_id.replace(self.next_client_id.get() + 1));
-        let connection = Connection::new(stream);
+        let connection = Connection::new(stream, self.client_unsent.clone());
         self.downstreams
             .borrow_mut()
             .insert(client, connection.clone());
@@ -174,9 +174,12 @@
             .as_ref()
             .filter(|connection| !connection.ended.get())
         {
-            if read >= MAX_CHECK_BYTES
-                || self.queue.borrow().waiting_requests(client) >= MAX_QUEUED_REQUESTS
-            {
+            let queue = self.queue.borrow();
+            let may_read = read < MAX_CHECK_BYTES
+                && queue.waiting_requests(client) < MAX_QUEUED_REQUESTS
+                && queue.admits(client, READ_BUFFER_BYTES);
+            drop(queue);
+            if !may_read {
                 return PeerCheck::MoreUnread;
             }
             match self.read_client(client, connection) {
--- a/crates/gateway-net/src/run/upstream.rs
+++ b/crates/gateway-net/src/run/upstream.rs
@@ -3,6 +3,7 @@
 use super::EventLoop;
 use crate::connection::Connection;
 use crate::socket::{Socket, WriteOutcome};
+use crate::unsent::SharedBudget;
 use async_io::Async;
 use smol::Task;
 use std::net::{SocketAddr, TcpStream};
@@ -139,7 +140,8 @@
             _ => return,
         }
         let connection = match result {
-            Ok(stream) => Connection::new(stream),
+            // What is buffered for a machine is bounded by the offers and messages to it.
+            Ok(stream) => Connection::new(stream, SharedBudget::default()),
             Err(error) => {
                 let refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
                 self.enqueue(if refused {
--- a/crates/gateway-net/src/socket.rs
+++ b/crates/gateway-net/src/socket.rs
@@ -1,12 +1,11 @@
 //! A non-blocking socket with a bounded buffer of unsent bytes.
 
+use crate::unsent::{SharedBudget, UnsentBytes};
 use async_io::Async;
 use std::cell::{Cell, RefCell};
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 
-/// Maximum number of unsent bytes for a peer that does not read; a write beyond that fails.
-const MAX_UNSENT_BYTES: usize = 256 * 1024;
 /// Maximum number of bytes of one read, so that one connection does not delay the others.
 pub const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes that [`Socket::discard`] reads. Bounds the work for a peer that never stops sending.
@@ -31,7 +30,7 @@
 #[derive(Debug)]
 pub struct Socket {
     stream: Async<TcpStream>,
-    unsent: RefCell<Vec<u8>>,
+    unsent: RefCell<UnsentBytes>,
     /// Whether a task drains the unsent bytes.
     draining: Cell<bool>,
     /// Whether to half-close the connection once all bytes were sent. If it were half-closed before, a release that is
@@ -40,14 +39,14 @@
 }
 
 impl Socket {
-    /// Wraps an open connection.
-    pub fn new(stream: Async<TcpStream>) -> Self {
+    /// Wraps an open connection. Its unsent bytes count in `budget`.
+    pub fn new(stream: Async<TcpStream>, budget: SharedBudget) -> Self {
         // Without TCP_NODELAY small writes are delayed until earlier ones are acknowledged. The socket works without
         // the option too, so an error is ignored.
         let _ = stream.get_ref().set_nodelay(true);
         Self {
             stream,
-            unsent: RefCell::default(),
+            unsent: RefCell::new(UnsentBytes::new(budget)),
             draining: Cell::new(false),
             half_closing: Cell::new(false),
         }
@@ -59,18 +58,19 @@
         {
             let mut unsent = self.unsent.borrow_mut();
             if !unsent.is_empty() {
-                if unsent.len() + bytes.len() > MAX_UNSENT_BYTES {
-                    return (WriteOutcome::NotWritten, false);
-                }
-                unsent.extend_from_slice(bytes);
-                return (WriteOutcome::Accepted, false);
+                let outcome = if unsent.extend(bytes) {
+                    WriteOutcome::Accepted
+                } else {
+                    WriteOutcome::NotWritten
+                };
+                return (outcome, false);
             }
         }
         match self.write_now(bytes) {
-            (WriteOutcome::Blocked, _) => {
-                self.unsent.borrow_mut().extend_from_slice(bytes);
+            (WriteOutcome::Blocked, _) if self.unsent.borrow_mut().extend(bytes) => {
                 (WriteOutcome::Accepted, !self.draining.replace(true))
             }
+            (WriteOutcome::Blocked, _) => (WriteOutcome::NotWritten, false),
             (WriteOutcome::PartiallyWritten, drain) => (WriteOutcome::Accepted, drain),
             other => other,
         }
@@ -101,9 +101,9 @@
                     return (WriteOutcome::Blocked, false);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.unsent
-                        .borrow_mut()
-                        .extend_from_slice(&bytes[written..]);
+                    if !self.unsent.borrow_mut().extend(&bytes[written..]) {
+                        return (WriteOutcome::Failed, false);
+                    }
                     return (WriteOutcome::PartiallyWritten, !self.draining.replace(true));
                 }
                 Err(_) => {
@@ -136,14 +136,13 @@
             self.stream.writable().await?;
             let mut unsent = self.unsent.borrow_mut();
             if !unsent.is_empty() {
-                match self.stream.get_ref().write(&unsent) {
-                    Ok(n) => drop(unsent.drain(..n)),
+                match self.stream.get_ref().write(unsent.bytes()) {
+                    Ok(n) => unsent.remove_first(n),
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                     Err(e) => return Err(e),
                 }
             }
             if unsent.is_empty() {
-                *unsent = Vec::new();
                 if self.half_closing.get() {
                     self.shutdown_write();
                 }
--- a/crates/gateway-net/tests/socket.rs
+++ b/crates/gateway-net/tests/socket.rs
@@ -4,15 +4,25 @@
 use std::cell::RefCell;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use tidespur_gateway::byte_budget::ByteBudget;
 use tidespur_gateway_net::socket::{Socket, WriteOutcome};
+use tidespur_gateway_net::unsent::SharedBudget;
 
 fn connected_pair() -> (Socket, TcpStream) {
+    connected_pair_within(&SharedBudget::default())
+}
+
+fn connected_pair_within(budget: &SharedBudget) -> (Socket, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("listener is bound");
     let stream = TcpStream::connect(listener.local_addr().expect("listener has an address"))
         .expect("connection is made");
     let (peer, _) = listener.accept().expect("connection is accepted");
     (
-        Socket::new(Async::new(stream).expect("socket is registered")),
+        Socket::new(
+            Async::new(stream).expect("socket is registered"),
+            budget.clone(),
+        ),
         peer,
     )
 }
@@ -123,3 +133,20 @@
     drop(socket);
     assert!(writer.join().expect("writer ends") >= 256 * 1024);
 }
+
+/// Guards against clients that don't read and together use more memory than the process has.
+#[test]
+fn sockets_share_a_budget_for_unsent_bytes_and_give_it_back() {
+    let budget: SharedBudget = Rc::new(RefCell::new(ByteBudget::new(1 << 20)));
+    let mut pairs = Vec::new();
+    for _ in 0..10 {
+        let (socket, peer) = connected_pair_within(&budget);
+        let is_full = |outcome| matches!(outcome, WriteOutcome::NotWritten | WriteOutcome::Failed);
+        while !is_full(socket.write(&[7; 16 * 1024]).0) {}
+        pairs.push((socket, peer));
+        assert!(budget.borrow().used() <= 1 << 20);
+    }
+    assert!(budget.borrow().used() > 0);
+    drop(pairs);
+    assert_eq!(budget.borrow().used(), 0);
+}
--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -15,6 +15,8 @@
     pub rejected: u64,
     /// Set-ups shed because the event loop lagged; also counted in `rejected`.
     pub shed: u64,
+    /// Set-ups rejected because pending requests use too much memory; also counted in `rejected`.
+    pub rejected_for_memory: u64,
     /// Maximum lag of the event loop, in milliseconds.
     pub max_lag_ms: u64,
     /// Requests that the policy failed.
@@ -54,6 +56,8 @@
     pub requests: usize,
     /// Requests whose owner waits for an answer.
     pub pending: usize,
+    /// Memory that pending requests may use now, in bytes.
+    pub pending_bytes: usize,
     /// Open client connections.
     pub downstreams: usize,
     /// Connections to machines, including those that are half-closed or being dialled.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 mod shutdown;
 mod upstream_messages;
 
-pub use io::{Input, Limits, Output, PeerCheck};
+pub use io::{Input, Limits, MemoryLimits, Output, PeerCheck};
 
 use clients::ReadyOffers;
 use id_conflicts::IdConflict;
@@ -38,9 +38,6 @@
 const MAX_PENDING_PER_CLIENT: usize = 256;
 /// Pending requests of all clients; more are rejected.
 const MAX_PENDING: usize = 8_192;
-/// Pending requests and placed tasks of all clients. A task that is handed over beyond that is not adopted, and its
-/// owner is told that it failed. Bounds the memory that a client can use by handing over any number of tasks.
-const MAX_REQUESTS: usize = 32_768;
 /// Releases queued until there is a connection to their owner; beyond that the oldest is dropped.
 const MAX_PENDING_RELEASES: usize = 4_096;
 /// Maintenance runs at this interval; the event loop wakes at least as often.
@@ -54,6 +51,8 @@
     site: Site,
     policy: Scheduler,
     requests: RequestTable,
+    /// Placed tasks beyond which none is adopted; their owners are told that they failed.
+    max_placed: usize,
     pool: Pool,
     downstreams: Downstreams,
     /// Name and last start time of each machine that is listed or still in the pool.
@@ -94,7 +93,8 @@
         };
         Ok(Self {
             policy,
-            requests: RequestTable::default(),
+            requests: RequestTable::new(limits.memory.pending_bytes),
+            max_placed: limits.memory.max_placed,
             pool: Pool::new(limits.upstreams, timeouts),
             downstreams: Downstreams::new(limits.downstreams),
             machines: BTreeMap::new(),
@@ -141,6 +141,7 @@
         Sizes {
             requests: self.requests.count(),
             pending: self.requests.pending_count(),
+            pending_bytes: self.requests.pending_bytes(),
             downstreams: self.downstreams.count(),
             upstreams: self.pool.count(),
             machines: self.pool.peer_count(),
--- a/crates/gateway/src/gateway/actions.rs
+++ b/crates/gateway/src/gateway/actions.rs
@@ -123,13 +123,13 @@
 fn offer_message(id: RequestId, request: &Request, timeout: Seconds) -> Message {
     let milliseconds = ((timeout * 1000.0).ceil().max(1.0) as u64).to_string();
     let mut set_up = Message::new(MessageKind::SetUp, id);
-    for (code, value) in &request.forwarded {
-        let value = if *code == code::TIMEOUT {
+    for (code, value) in request.forwarded.iter() {
+        let value = if code == code::TIMEOUT {
             milliseconds.as_bytes()
         } else {
             value
         };
-        set_up = set_up.with(*code, value);
+        set_up.parameters.push(code, value);
     }
     set_up
 }
--- a/crates/gateway/src/gateway/io.rs
+++ b/crates/gateway/src/gateway/io.rs
@@ -7,7 +7,12 @@
 use std::net::IpAddr;
 use tidespur_policy::interface::Seconds;
 
-/// Limits on the gateway's connections.
+/// Memory of a placed task, here, in the indexes and in the policy, in bytes.
+const PLACED_TASK_BYTES: usize = 1024;
+/// Placed tasks beyond which none is adopted, however much memory there is.
+const MAX_PLACED: usize = 32_768;
+
+/// Limits on the gateway's connections and memory.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Maximum open client connections.
@@ -16,19 +21,56 @@
     pub upstreams: usize,
     /// Maximum client connections that were closed here and not yet by their peers.
     pub closing: usize,
+    /// Limits on memory.
+    pub memory: MemoryLimits,
+}
+
+/// Limits on the memory that clients can use. What a connection buffers of what it reads, an incomplete message and
+/// one read, is bounded by the number of connections.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryLimits {
+    /// Maximum memory of pending requests, in bytes.
+    pub pending_bytes: usize,
+    /// Maximum memory of messages that were read ahead of their turn, in bytes.
+    pub queued_bytes: usize,
+    /// Maximum bytes that are buffered for clients that don't read.
+    pub unsent_bytes: usize,
+    /// Maximum placed tasks. A task that is handed over beyond that is not adopted.
+    pub max_placed: usize,
+}
+
+impl MemoryLimits {
+    /// Divides a limit on the memory of the process: a quarter each for pending requests and placed tasks, a sixteenth
+    /// each for messages read ahead and for unsent bytes. The rest is for the program itself, the machines, and what
+    /// connections buffer.
+    pub const fn for_process(bytes: usize) -> Self {
+        let max_placed = bytes / 4 / PLACED_TASK_BYTES;
+        Self {
+            pending_bytes: bytes / 4,
+            queued_bytes: bytes / 16,
+            unsent_bytes: bytes / 16,
+            max_placed: if max_placed < MAX_PLACED {
+                max_placed
+            } else {
+                MAX_PLACED
+            },
+        }
+    }
 }
 
 impl Limits {
     /// Divides a limit on file descriptors: up to 24 for the program itself, the discovery stream and closing
     /// connections; a third for owners, as the platform's rules allow them no more, and an eighth for other clients;
-    /// the rest for machines, so that as many as possible have a connection of their own.
-    pub fn for_descriptors(descriptors: usize) -> Self {
+    /// the rest for machines, so that as many as possible have a connection of their own. The limit on memory is in
+    /// bytes, see [`MemoryLimits::for_process`].
+    pub fn for_process(descriptors: usize, memory_bytes: usize) -> Self {
         let reserved = 24.min(descriptors / 4);
         let downstreams = descriptors / 3 + descriptors / 8;
         Self {
             upstreams: (descriptors - reserved).saturating_sub(downstreams).max(2),
             downstreams: downstreams.max(1),
             closing: reserved / 4,
+            memory: MemoryLimits::for_process(memory_bytes),
         }
     }
 }
--- a/crates/gateway/src/gateway/set_ups.rs
+++ b/crates/gateway/src/gateway/set_ups.rs
@@ -2,8 +2,8 @@
 //! conflict.
 
 use super::id_conflicts::IdConflict;
-use super::{Gateway, MAX_PENDING, MAX_PENDING_PER_CLIENT, MAX_REQUESTS, Output};
-use crate::message::{Message, RequestId, cause};
+use super::{Gateway, MAX_PENDING, MAX_PENDING_PER_CLIENT, Output};
+use crate::message::{Message, Parameters, RequestId, cause};
 use crate::request_table::{Request, RequestState};
 use crate::task_request::TaskRequestError;
 use crate::{DownstreamId, discovery, task_request};
@@ -88,8 +88,8 @@
     ) {
         let machine = discovery::machine_id(name);
         let client = request.client;
-        let end_cause = self.requests.unknown_end_cause(id);
-        let has_capacity = self.requests.count() < MAX_REQUESTS;
+        let end_cause = self.requests.unknown_ends().cause_of(id);
+        let has_capacity = self.requests.placed_count() < self.max_placed;
         if end_cause.is_some() || !has_capacity || !self.pool.add_unlisted_machine(now, machine) {
             let release_cause = end_cause
                 .filter(|&end_cause| end_cause != cause::ENDED)
@@ -108,6 +108,7 @@
             dialled_at: None,
         };
         request.attempts = 1;
+        request.forwarded = Parameters::default();
         self.requests.add(id, request);
         self.pool.task_placed(now, machine);
         self.downstreams.task_placed(client);
@@ -131,7 +132,10 @@
         }
         let is_shed = !self.shedder.admit(task.class);
         self.counts.shed += u64::from(is_shed);
+        let has_memory = self.requests.has_memory_for(&request);
+        self.counts.rejected_for_memory += u64::from(!has_memory);
         let is_rejected = is_shed
+            || !has_memory
             || self.is_shutting_down()
             || self.downstreams.pending_count(client) >= MAX_PENDING_PER_CLIENT
             || self.requests.pending_count() >= MAX_PENDING;
--- a/crates/gateway/src/gateway/upstream_messages.rs
+++ b/crates/gateway/src/gateway/upstream_messages.rs
@@ -160,7 +160,8 @@
         self.counts.unmatched += 1;
         let release_cause = message.cause().unwrap_or(cause::FAILED);
         self.requests
-            .record_unknown_end(now, message.id, release_cause);
+            .unknown_ends()
+            .record(now, message.id, release_cause);
         acknowledge_release(upstream, message.id, outputs);
     }
 
--- a/crates/gateway/src/input_queue.rs
+++ b/crates/gateway/src/input_queue.rs
@@ -8,6 +8,7 @@
 //! it doesn't wait behind other requests while an attempt begins. A cancel never overtakes its own set-up: while that
 //! one is queued, the cancel waits for it, and both are taken in the same step.
 
+use crate::byte_budget::ByteBudget;
 use crate::message::{Message, MessageKind, RequestId};
 use crate::{DownstreamId, Input};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -27,8 +28,10 @@
     inputs: VecDeque<Input>,
     /// Ids of the set-ups in `inputs`.
     set_ups: BTreeSet<RequestId>,
-    /// Cancels of those set-ups.
-    cancels: BTreeMap<RequestId, Message>,
+    /// Those of these set-ups that are cancelled.
+    cancels: BTreeSet<RequestId>,
+    /// Memory of `inputs`, in bytes.
+    bytes: usize,
 }
 
 /// Inputs for the next steps; see the module documentation.
@@ -37,6 +40,8 @@
     /// Inputs of machines and of the discovery stream, and inputs that end requests.
     completions: Vec<Input>,
     requests: BTreeMap<DownstreamId, ClientBacklog>,
+    /// Memory of the inputs in `requests`.
+    budget: ByteBudget,
     /// Round-robin order of the connections; each one with a backlog is in it once.
     turns: VecDeque<DownstreamId>,
     steps: u64,
@@ -45,6 +50,14 @@
 }
 
 impl InputQueue {
+    /// Creates an empty queue. Up to `max_bytes` of requests are to be read ahead of their turn.
+    pub fn new(max_bytes: usize) -> Self {
+        Self {
+            budget: ByteBudget::new(max_bytes),
+            ..Self::default()
+        }
+    }
+
     /// Adds an input. [`InputQueue::is_drained`] and [`InputQueue::are_completions_taken`] tell whether it was taken.
     pub fn push(&mut self, input: Input) -> StepNumber {
         let client = match &input {
@@ -56,25 +69,29 @@
         if let Input::DownstreamMessage(_, message) = &input
             && message.kind == MessageKind::Release
         {
-            return self.push_release(client, message.clone());
+            return self.push_release(client, message.id);
         }
         let backlog = self.requests.entry(client).or_default();
         if backlog.inputs.is_empty() {
             self.turns.push_back(client);
         }
+        let bytes = memory_bytes(&input);
+        backlog.bytes += bytes;
+        self.budget.take(bytes);
         backlog.set_ups.extend(set_up_id(&input));
         backlog.inputs.push_back(input);
         StepNumber(self.steps)
     }
 
-    /// Queues a cancel with its set-up if that is still queued; any other release is a completion.
-    fn push_release(&mut self, client: DownstreamId, message: Message) -> StepNumber {
+    /// Queues a cancel with its set-up if that is still queued; any other release is a completion. Only its id is kept, as
+    /// the parameters of a client's release have no meaning.
+    fn push_release(&mut self, client: DownstreamId, id: RequestId) -> StepNumber {
         match self.requests.get_mut(&client) {
-            Some(backlog) if backlog.set_ups.contains(&message.id) => {
-                backlog.cancels.insert(message.id, message);
+            Some(backlog) if backlog.set_ups.contains(&id) => {
+                backlog.cancels.insert(id);
                 StepNumber(self.steps)
             }
-            _ => self.push_completion(Input::DownstreamMessage(client, message)),
+            _ => self.push_completion(release_of(client, id)),
         }
     }
 
@@ -100,6 +117,21 @@
             .map_or(0, |backlog| backlog.inputs.len())
     }
 
+    /// Whether this many bytes of this connection may be read ahead of its turn. A connection without queued inputs may
+    /// always be read once.
+    pub fn admits(&self, client: DownstreamId, bytes: usize) -> bool {
+        let own = self
+            .requests
+            .get(&client)
+            .map_or(0, |backlog| backlog.bytes);
+        own == 0 || self.budget.admits(own, bytes)
+    }
+
+    /// Memory of the queued requests, in bytes.
+    pub fn queued_bytes(&self) -> usize {
+        self.budget.used()
+    }
+
     /// Whether no input is queued.
     pub fn is_empty(&self) -> bool {
         self.completions.is_empty() && self.requests.is_empty()
@@ -128,7 +160,8 @@
                 continue;
             };
             let max_requests = MAX_REQUESTS_PER_TURN.min(max_inputs - batch.len());
-            backlog.take_turn(client, max_requests, &mut batch);
+            let bytes = backlog.take_turn(client, max_requests, &mut batch);
+            self.budget.give_back(bytes);
             if backlog.inputs.is_empty() {
                 self.requests.remove(&client);
             } else {
@@ -140,22 +173,46 @@
 }
 
 impl ClientBacklog {
-    /// Moves up to `max_requests` inputs into the batch. A set-up's queued cancel follows directly after it.
-    fn take_turn(&mut self, client: DownstreamId, max_requests: usize, batch: &mut Vec<Input>) {
+    /// Moves up to `max_requests` inputs into the batch, and returns their memory. A set-up's queued cancel follows directly
+    /// after it.
+    fn take_turn(
+        &mut self,
+        client: DownstreamId,
+        max_requests: usize,
+        batch: &mut Vec<Input>,
+    ) -> usize {
         let count = max_requests.min(self.inputs.len());
+        let mut bytes = 0;
         for input in self.inputs.drain(..count) {
+            bytes += memory_bytes(&input);
             let set_up = set_up_id(&input);
             batch.push(input);
             if let Some(id) = set_up
                 && self.set_ups.remove(&id)
-                && let Some(cancel) = self.cancels.remove(&id)
+                && self.cancels.remove(&id)
             {
-                batch.push(Input::DownstreamMessage(client, cancel));
+                batch.push(release_of(client, id));
             }
         }
+        self.bytes -= bytes;
+        bytes
     }
 }
 
+/// A client's release, without parameters.
+fn release_of(client: DownstreamId, id: RequestId) -> Input {
+    Input::DownstreamMessage(client, Message::new(MessageKind::Release, id))
+}
+
+/// Memory of a client's input, in bytes.
+fn memory_bytes(input: &Input) -> usize {
+    let message = match input {
+        Input::DownstreamMessage(_, message) => message.memory_bytes(),
+        _ => 0,
+    };
+    size_of::<Input>() + message
+}
+
 /// Id of a set-up; `None` for any other input.
 fn set_up_id(input: &Input) -> Option<RequestId> {
     match input {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! owns the requests and their attempts; [`pool::Pool`] owns the connections to machines. The policy decides which
 //! machine gets a task, how long an attempt may take and which task is rejected. `gateway-net` runs it on sockets.
 
+pub mod byte_budget;
 pub mod counts;
 pub mod discovery;
 pub mod downstream;
@@ -17,7 +18,7 @@
 pub mod task_request;
 
 pub use error::GatewayError;
-pub use gateway::{Gateway, Input, Limits, Output, PeerCheck};
+pub use gateway::{Gateway, Input, Limits, MemoryLimits, Output, PeerCheck};
 
 /// Id of a connection that a client opened; assigned by the event loop and never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,8 +4,10 @@
 //! (1 byte), a length (2 bytes) and a value. All numbers are big-endian.
 
 mod codes;
+mod parameters;
 
 pub use codes::{cause, code};
+pub use parameters::Parameters;
 
 /// Maximum size of a message after its length field, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
@@ -80,8 +82,8 @@
     pub kind: MessageKind,
     /// The task that it is about; 0 in a health check.
     pub id: RequestId,
-    /// Code and value of each parameter, in the order of the wire. A code may repeat.
-    pub parameters: Vec<(u8, Vec<u8>)>,
+    /// What the message says of the task.
+    pub parameters: Parameters,
 }
 
 impl Message {
@@ -90,15 +92,14 @@
         Self {
             kind,
             id,
-            parameters: Vec::new(),
+            parameters: Parameters::default(),
         }
     }
 
     /// Adds a parameter. A value longer than [`MAX_MESSAGE_BYTES`] is truncated, as no peer would accept it.
     #[must_use]
     pub fn with(mut self, code: u8, value: &[u8]) -> Self {
-        self.parameters
-            .push((code, value[..value.len().min(MAX_MESSAGE_BYTES)].to_vec()));
+        self.parameters.push(code, value);
         self
     }
 
@@ -109,10 +110,7 @@
 
     /// Value of the first parameter with this code.
     pub fn get(&self, code: u8) -> Option<&[u8]> {
-        self.parameters
-            .iter()
-            .find(|(c, _)| *c == code)
-            .map(|(_, value)| value.as_slice())
+        self.parameters.get(code)
     }
 
     /// Value of the first parameter with this code as text; `None` also if it isn't UTF-8.
@@ -127,23 +125,20 @@
             .map(|[cause]| cause)
     }
 
+    /// Memory that the message takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        size_of::<Self>() + self.parameters.encoded().len()
+    }
+
     /// Encodes the message, with its length field.
     pub fn encode(&self) -> Vec<u8> {
-        let length = HEADER_BYTES
-            + self
-                .parameters
-                .iter()
-                .map(|(_, value)| 3 + value.len())
-                .sum::<usize>();
+        let parameters = self.parameters.encoded();
+        let length = HEADER_BYTES + parameters.len();
         let mut bytes = Vec::with_capacity(2 + length);
         bytes.extend((length as u16).to_be_bytes());
         bytes.push(self.kind.number());
         bytes.extend(self.id.0.to_be_bytes());
-        for (code, value) in &self.parameters {
-            bytes.push(*code);
-            bytes.extend((value.len() as u16).to_be_bytes());
-            bytes.extend(value);
-        }
+        bytes.extend(parameters);
         bytes
     }
 }
@@ -207,7 +202,7 @@
         let Some(body) = rest.get(2..2 + length) else {
             return Ok(None);
         };
-        let Some((head, mut rest)) = body.split_first_chunk::<HEADER_BYTES>() else {
+        let Some((head, rest)) = body.split_first_chunk::<HEADER_BYTES>() else {
             return Ok(None);
         };
         let id = RequestId(
@@ -215,23 +210,16 @@
                 .iter()
                 .fold(0, |id, &byte| id << 8 | u64::from(byte)),
         );
-        let mut message = Message::new(kind, id);
-        while let Some((&[code, high, low], after)) = rest.split_first_chunk::<3>() {
-            let value = after.split_at_checked(usize::from(u16::from_be_bytes([high, low])));
-            let Some((value, after)) = value else {
-                return Err(MessageError::Parameters(id));
-            };
-            message.parameters.push((code, value.to_vec()));
-            rest = after;
-        }
-        if !rest.is_empty() {
-            return Err(MessageError::Parameters(id));
-        }
+        let parameters = Parameters::parse(rest).ok_or(MessageError::Parameters(id))?;
         self.decoded += 2 + length;
         if self.decoded == self.bytes.len() {
             self.bytes.clear();
             self.decoded = 0;
         }
-        Ok(Some(message))
+        Ok(Some(Message {
+            kind,
+            id,
+            parameters,
+        }))
     }
 }
--- a/crates/gateway/src/request_table.rs
+++ b/crates/gateway/src/request_table.rs
@@ -2,20 +2,20 @@
 //!
 //! Owned by the gateway. All changes of a request's state go through the table, which keeps its indexes consistent.
 
+mod pending_memory;
 mod request;
+mod unknown_ends;
 
 pub use request::{Attempt, Request, RequestState};
 
-use crate::message::RequestId;
+use pending_memory::PendingMemory;
+
+use crate::message::{Parameters, RequestId};
 use crate::{DownstreamId, UpstreamId};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use tidespur_policy::interface::{MachineId, Seconds, TaskId};
-
-/// The end of an unknown task is kept for this long, as the task may be handed over later.
-const UNKNOWN_END_TIMEOUT: Seconds = 30.0;
-/// Ends of unknown tasks that are kept; beyond that the oldest is dropped.
-const MAX_UNKNOWN_ENDS: usize = 4_096;
+use unknown_ends::UnknownEnds;
 
 /// All requests; see the module documentation.
 #[derive(Debug, Default)]
@@ -23,11 +23,11 @@
     requests: BTreeMap<RequestId, Request>,
     ids: BTreeMap<TaskId, RequestId>,
     pending_by_client: BTreeSet<(DownstreamId, RequestId)>,
+    pending_memory: PendingMemory,
     placed_by_machine: BTreeSet<(MachineId, RequestId)>,
     /// Deadlines of attempts, in microseconds.
     attempt_deadlines: BTreeSet<(u64, RequestId)>,
-    /// Ends of unknown tasks, oldest first: time, id and cause.
-    unknown_ends: VecDeque<(Seconds, RequestId, u8)>,
+    unknown_ends: UnknownEnds,
     last_task_id: u64,
 }
 
@@ -37,6 +37,25 @@
 }
 
 impl RequestTable {
+    /// Creates an empty table, with a limit on the memory of pending requests.
+    pub fn new(max_pending_bytes: usize) -> Self {
+        Self {
+            pending_memory: PendingMemory::new(max_pending_bytes),
+            ..Self::default()
+        }
+    }
+
+    /// Whether the memory of pending requests has room for this one.
+    pub fn has_memory_for(&self, request: &Request) -> bool {
+        self.pending_memory
+            .admits(request.client, request.pending_bytes())
+    }
+
+    /// Memory that pending requests may use now, in bytes.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending_memory.used()
+    }
+
     /// Number of requests, pending or placed.
     pub fn count(&self) -> usize {
         self.requests.len()
@@ -52,6 +71,11 @@
         self.pending_by_client.len()
     }
 
+    /// Number of placed tasks.
+    pub fn placed_count(&self) -> usize {
+        self.placed_by_machine.len()
+    }
+
     /// Assigns the id of a new task, from 1.
     pub fn new_task_id(&mut self) -> TaskId {
         self.last_task_id += 1;
@@ -72,6 +96,10 @@
     pub fn add(&mut self, id: RequestId, request: Request) {
         self.ids.insert(request.task, id);
         self.insert_into_indexes(id, request.client, request.state);
+        if request.is_pending() {
+            self.pending_memory
+                .add(request.client, request.pending_bytes());
+        }
         self.requests.insert(id, request);
     }
 
@@ -111,7 +139,13 @@
             return;
         };
         let client = request.client;
+        let pending_bytes = request.pending_bytes();
+        let was_pending = request.is_pending();
         let previous = std::mem::replace(&mut request.state, state);
+        if was_pending && !request.is_pending() {
+            request.forwarded = Parameters::default();
+            self.pending_memory.remove(client, pending_bytes);
+        }
         self.remove_from_indexes(id, client, previous);
         self.insert_into_indexes(id, client, state);
     }
@@ -169,6 +203,10 @@
     pub fn remove(&mut self, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
         self.ids.remove(&request.task);
+        if request.is_pending() {
+            self.pending_memory
+                .remove(request.client, request.pending_bytes());
+        }
         self.remove_from_indexes(id, request.client, request.state);
         Some(request)
     }
@@ -204,25 +242,8 @@
         self.attempt_deadlines.first().map(|&(at, _)| at)
     }
 
-    /// Keeps the end of an unknown task for a while, as its owner may hand the task over later.
-    pub fn record_unknown_end(&mut self, now: Seconds, id: RequestId, cause: u8) {
-        while self
-            .unknown_ends
-            .front()
-            .is_some_and(|&(at, ..)| now - at > UNKNOWN_END_TIMEOUT)
-            || self.unknown_ends.len() >= MAX_UNKNOWN_ENDS
-        {
-            self.unknown_ends.pop_front();
-        }
-        self.unknown_ends.push_back((now, id, cause));
-    }
-
-    /// Cause with which this task ended, if the end arrived before the task was handed over.
-    pub fn unknown_end_cause(&self, id: RequestId) -> Option<u8> {
-        self.unknown_ends
-            .iter()
-            .rev()
-            .find(|&&(_, ended, _)| ended == id)
-            .map(|&(.., cause)| cause)
+    /// Ends of tasks that are unknown here.
+    pub fn unknown_ends(&mut self) -> &mut UnknownEnds {
+        &mut self.unknown_ends
     }
 }
--- a/crates/gateway/src/request_table/request.rs
+++ b/crates/gateway/src/request_table/request.rs
@@ -1,9 +1,13 @@
 //! Requests, their states and attempts.
 
+use crate::message::Parameters;
 use crate::{DownstreamId, UpstreamId};
 use std::net::IpAddr;
 use tidespur_policy::interface::{MachineId, Seconds, TaskId};
 
+/// Memory of a pending request without its parameters, here, in the indexes and in the policy, in bytes.
+const PENDING_REQUEST_BYTES: usize = 1024;
+
 /// An attempt to place a task.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt {
@@ -52,11 +56,23 @@
     pub state: RequestState,
     /// Index of the task's class in the settings.
     pub class_index: usize,
-    /// Code and value of the parameters that are forwarded to a machine, in the owner's order. The timeout is replaced
-    /// in each offer.
-    pub forwarded: Vec<(u8, Vec<u8>)>,
+    /// The parameters that are forwarded to a machine, in the owner's order. The timeout is replaced in each offer. Empty
+    /// once the task is placed, as it is not offered again.
+    pub forwarded: Parameters,
     /// Number of attempts made.
     pub attempts: u32,
     /// When the first attempt that may have run was sent; `None` if no attempt can have run.
     pub first_attempt_at: Option<Seconds>,
 }
+
+impl Request {
+    /// Whether its owner waits for an answer.
+    pub const fn is_pending(&self) -> bool {
+        matches!(self.state, RequestState::Pending { .. })
+    }
+
+    /// Memory that it may need while it is pending, in bytes: its parameters, and their copy in an offer.
+    pub fn pending_bytes(&self) -> usize {
+        PENDING_REQUEST_BYTES + 2 * self.forwarded.encoded().len()
+    }
+}
--- a/crates/gateway/src/task_request.rs
+++ b/crates/gateway/src/task_request.rs
@@ -2,7 +2,7 @@
 //!
 //! Called by the gateway for each set-up; one that can't be used is rejected with the error of its first invalid field.
 
-use crate::message::{Message, code};
+use crate::message::{Message, Parameters, code};
 use std::collections::BTreeMap;
 use tidespur_policy::interface::{Resources, Seconds, ServiceId, Task, TaskId};
 use tidespur_site_settings::{Site, convert};
@@ -194,13 +194,11 @@
 /// Selects the parameters of a set-up that are forwarded to a machine, in their order: all except those for schedulers
 /// only. Unknown parameters are forwarded too, as the platform sends more of them (a tenant, an idempotency key) than a
 /// deployment's settings show. The timeout is included, but each offer replaces its value.
-pub fn forwarded_parameters(message: Message) -> Vec<(u8, Vec<u8>)> {
+pub fn forwarded_parameters(message: Message) -> Parameters {
     let scheduler_only = [code::RETRY, code::EXPECTED_DURATION, code::REQUESTED];
-    message
-        .parameters
-        .into_iter()
-        .filter(|(code, _)| !scheduler_only.contains(code))
-        .collect()
+    let mut parameters = message.parameters;
+    parameters.retain(|code| !scheduler_only.contains(&code));
+    parameters
 }
 
 /// Whether a set-up is a hand-over: it names the machine that holds its task already.
--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -10,7 +10,7 @@
 fn invalid_set_ups_are_rejected_and_reach_no_machine() {
     let with_value = |code: u8, value: &[u8]| {
         let mut message = set_up(5, "web");
-        message.parameters.retain(|(c, _)| *c != code);
+        message.parameters.retain(|c| c != code);
         if value.is_empty() {
             message
         } else {
--- a/crates/gateway/tests/codec.rs
+++ b/crates/gateway/tests/codec.rs
@@ -19,16 +19,25 @@
     ])
 }
 
-fn messages() -> impl Strategy<Value = Message> {
-    let parameters = prop::collection::vec(
+type ParameterList = Vec<(u8, Vec<u8>)>;
+
+fn parameter_lists() -> impl Strategy<Value = ParameterList> {
+    prop::collection::vec(
         (any::<u8>(), prop::collection::vec(any::<u8>(), 0..300)),
         0..6,
-    );
-    (kinds(), any::<u64>(), parameters).prop_map(|(kind, id, parameters)| Message {
-        kind,
-        id: RequestId(id),
-        parameters,
-    })
+    )
+}
+
+fn message(kind: MessageKind, id: u64, parameters: &ParameterList) -> Message {
+    let empty = Message::new(kind, RequestId(id));
+    parameters
+        .iter()
+        .fold(empty, |message, (code, value)| message.with(*code, value))
+}
+
+fn messages() -> impl Strategy<Value = Message> {
+    (kinds(), any::<u64>(), parameter_lists())
+        .prop_map(|(kind, id, parameters)| message(kind, id, &parameters))
 }
 
 fn decode_all(decoder: &mut Decoder) -> Result<Vec<Message>, MessageError> {
@@ -40,6 +49,19 @@
 }
 
 proptest! {
+    #[test]
+    fn decoded_parameters_are_those_that_were_added(kind in kinds(), id: u64, parameters in parameter_lists()) {
+        let mut decoder = Decoder::default();
+        decoder.feed(&message(kind, id, &parameters).encode());
+        let decoded = decoder.next_message().unwrap().unwrap();
+        let list: ParameterList = decoded
+            .parameters
+            .iter()
+            .map(|(code, value)| (code, value.to_vec()))
+            .collect();
+        prop_assert_eq!(list, parameters);
+    }
+
     #[test]
     fn encoded_messages_are_decoded_from_any_split(
         sent in prop::collection::vec(messages(), 1..5),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use tidespur_gateway::message::{Decoder, Message, MessageKind, RequestId, code};
 use tidespur_gateway::pool::PoolAction;
 use tidespur_gateway::{
-    DownstreamId, Gateway, Input, Limits, Output, PeerCheck, UpstreamId, discovery,
+    DownstreamId, Gateway, Input, Limits, MemoryLimits, Output, PeerCheck, UpstreamId, discovery,
 };
 use tidespur_site_settings::{SettingsObject, Site};
 
@@ -89,10 +89,12 @@
     Message::release(RequestId(id), cause)
 }
 
-const LIMITS: Limits = Limits {
+/// Limits of most tests; the memory does not matter in them.
+pub const LIMITS: Limits = Limits {
     downstreams: 8,
     upstreams: 16,
     closing: 2,
+    memory: MemoryLimits::for_process(1 << 30),
 };
 
 /// What happens to the dials of the gateway while time advances.
@@ -188,7 +190,8 @@
         let until = self.now + seconds;
         let mut all_outputs = Vec::new();
         while self.now < until {
-            self.now = self.gateway.next_wake().clamp(self.now + 0.001, until);
+            let earliest = (self.now + 0.001).min(until);
+            self.now = self.gateway.next_wake().clamp(earliest, until);
             self.step(Input::Tick);
             let dialled: Vec<UpstreamId> = self.dials().iter().map(|dial| dial.0).collect();
             all_outputs.append(&mut self.outputs);
--- a/crates/gateway/tests/common/simulation.rs
+++ b/crates/gateway/tests/common/simulation.rs
@@ -105,7 +105,7 @@
             .unwrap()
             .into_site()
             .unwrap();
-        let gateway = Gateway::new(site, Limits::for_descriptors(784), 7).unwrap();
+        let gateway = Gateway::new(site, Limits::for_process(784, 1 << 30), 7).unwrap();
         let mut simulation = Self {
             gateway,
             now: 1000.0,
@@ -168,9 +168,7 @@
             "web"
         };
         let mut message = set_up(id.0, class);
-        message
-            .parameters
-            .retain(|(c, _)| *c != code::EXPECTED_DURATION);
+        message.parameters.retain(|c| c != code::EXPECTED_DURATION);
         let owner = DownstreamId(1 + id.0 % OWNER_CONNECTIONS);
         self.enqueue(Input::DownstreamMessage(
             owner,
--- a/crates/gateway/tests/compatibility.rs
+++ b/crates/gateway/tests/compatibility.rs
@@ -258,7 +258,7 @@
 #[test]
 fn parameters_for_schedulers_only_are_not_forwarded() {
     let codes: Vec<u8> = task_request::forwarded_parameters(full_set_up(ID))
-        .into_iter()
+        .iter()
         .map(|(code, _)| code)
         .collect();
     assert_eq!(codes, [180, 183, 186, 192, 225]);
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -69,9 +69,8 @@
     let mut harness = Harness::with_limits(
         1,
         Limits {
-            downstreams: 8,
             upstreams: 2,
-            closing: 2,
+            ..LIMITS
         },
     );
     let mut dials = Vec::new();
@@ -192,9 +191,8 @@
     let mut harness = Harness::with_limits(
         12,
         Limits {
-            downstreams: 8,
             upstreams: 4,
-            closing: 2,
+            ..LIMITS
         },
     );
     for n in 1..=12 {
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -186,7 +186,7 @@
     let (upstream, _) = harness.dials()[0].clone();
     harness.step(Input::UpstreamOpened(upstream));
     let (_, offer) = harness.sent_to_machines().remove(0);
-    let codes: Vec<u8> = offer.parameters.iter().map(|(code, _)| *code).collect();
+    let codes: Vec<u8> = offer.parameters.iter().map(|(code, _)| code).collect();
     assert_eq!(
         codes,
         [
