--- a/crates/gateway/src/downstream.rs
+++ b/crates/gateway/src/downstream.rs
@@ -24,6 +24,13 @@
     Shutdown,
 }
 
+/// The penalty of a client for malformed and unexpected messages. It decreases with time.
+#[derive(Debug)]
+struct Penalty {
+    value: f64,
+    computed_at: Seconds,
+}
+
 #[derive(Debug)]
 struct Downstream {
     address: IpAddr,
@@ -37,8 +44,7 @@
     pending: usize,
     /// Placed tasks of this client.
     placed: usize,
-    /// The penalty for malformed and unexpected messages, and when it was computed.
-    penalty: (f64, Seconds),
+    penalty: Penalty,
     /// Releases sent to the client that it has not acknowledged.
     unacknowledged_releases: u32,
     /// Whether the client closed the connection; messages sent before that may still follow.
@@ -83,7 +89,10 @@
             is_owner: false,
             pending: 0,
             placed: 0,
-            penalty: (0.0, now),
+            penalty: Penalty {
+                value: 0.0,
+                computed_at: now,
+            },
             unacknowledged_releases: 0,
             peer_closed: false,
             close_reason: None,
--- a/crates/gateway/src/downstream/accounting.rs
+++ b/crates/gateway/src/downstream/accounting.rs
@@ -1,6 +1,6 @@
 //! Per-client counts of pending requests and placed tasks, and the rate limit on malformed messages.
 
-use super::Downstreams;
+use super::{Downstreams, Penalty};
 use crate::DownstreamId;
 use tidespur_policy::interface::Seconds;
 
@@ -24,12 +24,12 @@
 
     fn add_penalty(&mut self, now: Seconds, id: DownstreamId, penalty: f64) -> bool {
         self.downstreams.get_mut(&id).is_some_and(|client| {
-            let (previous, computed_at) = client.penalty;
-            client.penalty = (
-                (previous - PENALTY_DECAY_PER_SECOND * (now - computed_at)).max(0.0) + penalty,
-                now,
-            );
-            client.penalty.0 > MAX_PENALTY
+            let decay = PENALTY_DECAY_PER_SECOND * (now - client.penalty.computed_at);
+            client.penalty = Penalty {
+                value: (client.penalty.value - decay).max(0.0) + penalty,
+                computed_at: now,
+            };
+            client.penalty.value > MAX_PENALTY
         })
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 mod inputs;
 mod io;
 mod machines;
+mod owner_messages;
 mod requests;
 mod set_ups;
 mod shutdown;
@@ -20,6 +21,7 @@
 
 use clients::ReadyOffers;
 use id_conflicts::IdConflict;
+use owner_messages::PendingRelease;
 use shutdown::GracefulShutdown;
 
 use crate::counts::{Counts, ExaminedCounts, Sizes};
@@ -28,7 +30,6 @@
 use crate::pool::{ConnectionTimeouts, Pool};
 use crate::request_table::RequestTable;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::IpAddr;
 use tidespur_load_shedding::LoadShedder;
 use tidespur_policy::Scheduler;
 use tidespur_policy::interface::{Event, MachineId, Seconds};
@@ -38,14 +39,19 @@
 const MAX_PENDING_PER_CLIENT: usize = 256;
 /// Pending requests of all clients; more are rejected.
 const MAX_PENDING: usize = 8_192;
-/// Releases queued until there is a connection to their owner; beyond that the oldest is dropped.
-const MAX_PENDING_RELEASES: usize = 4_096;
 /// Maintenance runs at this interval; the event loop wakes at least as often.
 const TICK_INTERVAL: Seconds = 0.1;
 
 /// A step that begins this long after the previous one shows that the event loop stalled, as ticks are more frequent.
 const LOOP_STALL_TIMEOUT: Seconds = 2.0 * TICK_INTERVAL;
 
+/// A machine's name on the platform, and its last start.
+struct KnownMachine {
+    name: String,
+    /// `None` if it is not listed, or started before all schedulers.
+    started_at: Option<Seconds>,
+}
+
 /// The gateway of one scheduler; see the module documentation.
 pub struct Gateway {
     site: Site,
@@ -55,14 +61,14 @@
     max_placed: usize,
     pool: Pool,
     downstreams: Downstreams,
-    /// Name and last start time of each machine that is listed or still in the pool.
-    machines: BTreeMap<MachineId, (String, Option<Seconds>)>,
+    /// Machines that are listed or still in the pool.
+    machines: BTreeMap<MachineId, KnownMachine>,
     last_revision: u64,
     events: Vec<Event>,
     /// Timers of the policy: due time in microseconds, and token.
     timers: BTreeSet<(u64, u64)>,
-    /// Releases without a connection to their owner: the owner's address, and the encoded message.
-    pending_releases: VecDeque<(Option<IpAddr>, Vec<u8>)>,
+    /// Releases without a connection to their owner.
+    pending_releases: VecDeque<PendingRelease>,
     /// Offers that are sent once a check has shown that their clients are still connected.
     ready_offers: ReadyOffers,
     /// Set-ups whose id is in use on another connection, until that connection has been checked.
--- a/crates/gateway/src/gateway/attempts.rs
+++ b/crates/gateway/src/gateway/attempts.rs
@@ -1,6 +1,5 @@
 //! Lifecycle of requests and attempts: answers to owners, cancels, timeouts and ends.
 
-use super::MAX_PENDING_RELEASES;
 use super::{Gateway, Output};
 use crate::UpstreamId;
 use crate::message::{Message, RequestId, cause};
@@ -10,43 +9,6 @@
 use tidespur_policy::interface::{AttemptOutcome, Event, LoadReport, Seconds, TaskId};
 
 impl Gateway {
-    /// Sends a message to the owner of a request, or queues it until there is a connection to the owner.
-    pub(super) fn reply(&mut self, id: RequestId, bytes: Vec<u8>, outputs: &mut Vec<Output>) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        match self
-            .downstreams
-            .route_to_owner(Some(request.client), request.client_address)
-        {
-            Some(client) => {
-                self.downstreams.release_sent(client);
-                outputs.push(Output::WriteDownstream(client, bytes));
-            }
-            None => {
-                if self.pending_releases.len() >= MAX_PENDING_RELEASES {
-                    self.pending_releases.pop_front();
-                }
-                self.pending_releases
-                    .push_back((request.client_address, bytes));
-            }
-        }
-    }
-
-    /// Sends the queued releases in their order, up to the first one whose owner has no connection.
-    pub(super) fn send_pending_releases(&mut self, outputs: &mut Vec<Output>) {
-        while let Some((address, _)) = self.pending_releases.front() {
-            let Some(client) = self.downstreams.route_to_owner(None, *address) else {
-                return;
-            };
-            let Some((_, bytes)) = self.pending_releases.pop_front() else {
-                return;
-            };
-            self.downstreams.release_sent(client);
-            outputs.push(Output::WriteDownstream(client, bytes));
-        }
-    }
-
     /// Cancels a pending request and its current attempt. The owner gets no answer.
     pub(super) fn cancel_request(
         &mut self,
--- a/crates/gateway/src/gateway/endpoints.rs
+++ b/crates/gateway/src/gateway/endpoints.rs
@@ -1,6 +1,6 @@
 //! Applies watch events of the endpoint list to the pool and the policy.
 
-use super::{Gateway, Output};
+use super::{Gateway, KnownMachine, Output};
 use crate::discovery::{ListedEndpoint, WatchEvent};
 use tidespur_policy::interface::{EndpointStatus, Event, Seconds};
 
@@ -58,9 +58,15 @@
         let started_at = listed.endpoint.started_at;
         self.pool
             .endpoint_listed(now, machine, &listed.address, is_gone);
-        let previous = self.machines.insert(machine, (listed.name, started_at));
-        if let (Some((_, previous_start)), Some(start)) = (previous, started_at)
-            && previous_start.is_none_or(|previous_start| start > previous_start)
+        let listed = KnownMachine {
+            name: listed.name,
+            started_at,
+        };
+        let previous = self.machines.insert(machine, listed);
+        if let (Some(previous), Some(start)) = (previous, started_at)
+            && previous
+                .started_at
+                .is_none_or(|previous_start| start > previous_start)
         {
             self.machine_failed(machine, start, outputs);
         }
--- a/crates/gateway/src/gateway/machines.rs
+++ b/crates/gateway/src/gateway/machines.rs
@@ -91,7 +91,7 @@
     fn machine_name(&self, machine: MachineId) -> &str {
         self.machines
             .get(&machine)
-            .map_or("", |(name, _)| name.as_str())
+            .map_or("", |known| known.name.as_str())
     }
 
     /// Handles a machine that is gone and whose address another one has. Tasks that were accepted on a connection
@@ -108,7 +108,7 @@
         let started_at = self
             .machines
             .get(&successor)
-            .and_then(|(_, started_at)| *started_at);
+            .and_then(|known| known.started_at);
         let moved: Vec<RequestId> = self
             .requests
             .placed_at_machine(machine)
--- a/crates/gateway/src/gateway/set_ups.rs
+++ b/crates/gateway/src/gateway/set_ups.rs
@@ -2,7 +2,7 @@
 //! conflict.
 
 use super::id_conflicts::IdConflict;
-use super::{Gateway, MAX_PENDING, MAX_PENDING_PER_CLIENT, Output};
+use super::{Gateway, KnownMachine, MAX_PENDING, MAX_PENDING_PER_CLIENT, Output};
 use crate::message::{Message, Parameters, RequestId, cause};
 use crate::request_table::{Request, RequestState};
 use crate::task_request::TaskRequestError;
@@ -98,7 +98,10 @@
         }
         self.machines
             .entry(machine)
-            .or_insert_with(|| (name.to_owned(), None));
+            .or_insert_with(|| KnownMachine {
+                name: name.to_owned(),
+                started_at: None,
+            });
         self.counts.adopted += 1;
         self.downstreams.record_valid_set_up(now, client);
         request.state = RequestState::Placed {
