Net: opening a stream has one time limit, not a shorter one for its connection

Seen: a stream whose connection needs more than 1 s to come up was never opened, whatever time limit its caller gave: the client gave up dialling after 1 s, and the caller began again. Lines at fault: CONNECT_TIMEOUT in Client::connect, which stream_lines shared with send. The kernel repeats the first packet of a connection after 1 s, so one that was lost at a full backlog failed each time by a hair.

Now stream_lines gives dialling all of its caller's time. send keeps its limit of 1 s: a request that is given up while dialling was never sent, and its caller goes to another peer. A stream that was not dialled in time still says that it was never requested.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -66,7 +66,8 @@
 const MAX_LINE_BYTES: usize = 4 << 20;
 /// Idle connections that are kept for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 8;
-/// Time limit for opening a connection, in seconds.
+/// Time limit for opening a connection for [`Client::send`], in seconds. A request that is given up earlier than its own
+/// time limit was never sent, so the caller may send it to another peer.
 const CONNECT_TIMEOUT: f64 = 1.0;
 
 /// A client for one address; clones share its connections.
@@ -109,7 +110,8 @@
         &self.address
     }
 
-    async fn connect(&self) -> Result<Connection, NetError> {
+    /// Opens a connection within `timeout` seconds.
+    async fn connect(&self, timeout: f64) -> Result<Connection, NetError> {
         let connect_error = |e: String| NetError::Connect(e);
         let dial = async {
             let socket = TcpStream::connect(&self.address)
@@ -132,7 +134,7 @@
             .detach();
             Ok(send)
         };
-        clock::timeout(CONNECT_TIMEOUT, dial)
+        clock::timeout(timeout, dial)
             .await
             .unwrap_or_else(|| Err(connect_error("timed out".into())))
     }
@@ -174,7 +176,7 @@
             let is_new = idle.is_none();
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => self.connect().await?,
+                None => self.connect(CONNECT_TIMEOUT).await?,
             };
             if connection.ready().await.is_err() {
                 if is_new {
@@ -232,20 +234,16 @@
             .unwrap_or(Err(NetError::Timeout))
     }
 
-    /// Sends a GET on a connection of its own and returns the response to be read line by line. `head_timeout` is the
-    /// time limit for the response's head, in seconds.
-    pub async fn stream_lines(&self, path: &str, head_timeout: f64) -> Result<Lines, NetError> {
-        let open = async {
-            let mut connection = self.connect().await?;
-            let request = self.request(&Method::GET, path, "", &Bytes::new())?;
-            connection
-                .send_request(request)
-                .await
-                .map_err(|e| NetError::Interrupted(e.to_string()))
-        };
-        let response = clock::timeout(head_timeout, open)
+    /// Sends a GET on a connection of its own and returns the response to be read line by line. `timeout` is the time
+    /// limit in seconds from here to the response's head; opening the connection has no limit of its own.
+    pub async fn stream_lines(&self, path: &str, timeout: f64) -> Result<Lines, NetError> {
+        let deadline = clock::now() + timeout;
+        let mut connection = self.connect(timeout).await?;
+        let request = self.request(&Method::GET, path, "", &Bytes::new())?;
+        let response = clock::timeout(deadline - clock::now(), connection.send_request(request))
             .await
-            .unwrap_or(Err(NetError::Timeout))?;
+            .ok_or(NetError::Timeout)?
+            .map_err(|e| NetError::Interrupted(e.to_string()))?;
         Ok(Lines {
             status: response.status(),
             body: response.into_body(),
