Gateway: a call to discovery has the 2 s that the platform gives it

Cause: RESPONSE_HEAD_TIMEOUT = 1.0 in gateway-net/src/discovery.rs. A call was closed 0.5 s before its answer and repeated with the same limit, for ever. Checked: the scheduler's log ('no answer in time', 1.000 s apart) and the board's record (each call arrives whole with Last-Event-ID 1 and is answered 0.5 s after it was closed). Ruled out: connections that do not come up, a lost position, malformed events.

The position is kept as before: each call resumes after the last complete event.

--- a/crates/gateway-net/src/discovery.rs
+++ b/crates/gateway-net/src/discovery.rs
@@ -7,8 +7,9 @@
 
 /// A stream without a line for this long is closed, in seconds. The platform sends a comment each second.
 const SILENCE_TIMEOUT: f64 = 2.0;
-/// Timeout for the head of the response, in seconds.
-const RESPONSE_HEAD_TIMEOUT: f64 = 1.0;
+/// Time limit for a call, from dialling to the head of the response, in seconds: the 2 s that the platform gives a
+/// call, and the 50 ms by which its time limits are longer on sockets.
+const CALL_TIMEOUT: f64 = 2.05;
 /// A connection that lasted less than this is followed by [`RECONNECT_BACKOFF`], in seconds.
 const SHORT_CONNECTION: f64 = 0.5;
 /// Pause after a short connection, in seconds.
@@ -87,10 +88,7 @@
 ) -> String {
     let headers = vec![("last-event-id", last_revision.to_string())];
     let client = Client::new(address, 1, headers);
-    let mut lines = match client
-        .stream_lines("/board/poll", RESPONSE_HEAD_TIMEOUT)
-        .await
-    {
+    let mut lines = match client.stream_lines("/board/poll", CALL_TIMEOUT).await {
         Ok(lines) if lines.status.is_success() => lines,
         Ok(lines) => return format!("status {}", lines.status),
         Err(error) => return error.to_string(),
--- a/crates/planner/tests/common/mod.rs
+++ b/crates/planner/tests/common/mod.rs
@@ -88,11 +88,10 @@
     (listener, address)
 }
 
-/// Accepts a discovery connection. Returns the last event id that the gateway sent, and the stream for events.
-pub fn accept_discovery(listener: &TcpListener) -> (u64, TcpStream) {
-    let mut stream = accept(listener);
+/// Reads the request of a discovery connection. Returns the last event id that the gateway sent.
+pub fn read_discovery_call(stream: &TcpStream) -> u64 {
     let mut last_event_id = 0;
-    for line in BufReader::new(stream.try_clone().unwrap()).lines() {
+    for line in BufReader::new(stream).lines() {
         let line = line.unwrap().to_lowercase();
         if let Some(number) = line.strip_prefix("last-event-id:") {
             last_event_id = number.trim().parse().unwrap();
@@ -101,6 +100,13 @@
             break;
         }
     }
+    last_event_id
+}
+
+/// Accepts a discovery connection. Returns the last event id that the gateway sent, and the stream for events.
+pub fn accept_discovery(listener: &TcpListener) -> (u64, TcpStream) {
+    let mut stream = accept(listener);
+    let last_event_id = read_discovery_call(&stream);
     stream
         .write_all(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n: here\n\n")
         .unwrap();
--- /dev/null
+++ b/crates/planner/tests/gateway_slow_discovery.rs
@@ -0,0 +1,69 @@
+//! A discovery service that is slow to answer.
+
+mod common;
+
+use common::machine::Machine;
+use common::{
+    GatewayProcess, accept, connect_client, listen, pool_event, read_discovery_call, send_event,
+};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+/// How long the service takes to answer a call. The platform gives it 2 s.
+const SLOW_ANSWER: Duration = Duration::from_millis(1500);
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n: here\n\n";
+
+/// Starts a gateway whose only machine is draining. Event 2 of a test lists a usable one.
+fn start_with_draining_machine(test: &str, discovery: SocketAddr) -> GatewayProcess {
+    let draining = pool_event(1, true, "s-1", listen().1).replace("Ready", "Terminating");
+    GatewayProcess::start(test, discovery, &draining)
+}
+
+/// Accepts a call and answers it late.
+fn answer_slowly(listener: &TcpListener) -> (u64, TcpStream) {
+    let mut stream = accept(listener);
+    let last_event_id = read_discovery_call(&stream);
+    std::thread::sleep(SLOW_ANSWER);
+    stream.write_all(OK).unwrap();
+    (last_event_id, stream)
+}
+
+/// Sends event 2 and expects that a set-up reaches the machine that the event lists.
+fn assert_event_is_applied(gateway: &GatewayProcess, stream: &mut TcpStream) {
+    let mut machine = Machine::new();
+    send_event(stream, 2, &pool_event(2, false, "s-2", machine.address));
+    machine.place_task(&mut connect_client(gateway), 5);
+}
+
+fn assert_no_call(listener: &TcpListener) {
+    listener.set_nonblocking(true).unwrap();
+    let error = listener.accept().expect_err("there is no further call");
+    assert_eq!(error.kind(), std::io::ErrorKind::WouldBlock);
+}
+
+// Guards against a time limit for calls that is below what the platform gives the discovery service.
+#[test]
+fn a_call_that_is_answered_within_the_time_that_the_platform_allows_is_followed() {
+    let (discovery_listener, discovery_address) = listen();
+    let gateway = start_with_draining_machine("slow-answer", discovery_address);
+    let (last_event_id, mut stream) = answer_slowly(&discovery_listener);
+    assert_eq!(last_event_id, 1);
+    assert_event_is_applied(&gateway, &mut stream);
+    assert_no_call(&discovery_listener);
+}
+
+#[test]
+fn an_event_cut_off_by_a_slow_service_is_read_again_from_its_beginning() {
+    let (discovery_listener, discovery_address) = listen();
+    let gateway = start_with_draining_machine("slow-cut", discovery_address);
+    let (_, mut stream) = answer_slowly(&discovery_listener);
+    stream.write_all(b"id: 2\ndata: {\"rev\":2,").unwrap();
+    drop(stream);
+    let (last_event_id, mut stream) = answer_slowly(&discovery_listener);
+    assert_eq!(
+        last_event_id, 1,
+        "the event that was cut off does not count"
+    );
+    assert_event_is_applied(&gateway, &mut stream);
+}
