Gateway: a change of the discovery address leaves no calls and streams behind

Seen: nothing by callers. Twelve changes of the address by SIGHUP in quick succession left twelve more streams open for 3 s (26 descriptors, 14 before).

Now the event loop owns the follower of the current address and the one before. A change drops a call or a pause at once; an open stream is read to its end for 3 s and takes the place of an earlier one, so two are open at most.

Tests: changes_of_the_address_in_quick_succession_leave_two_streams_open failed before (26 descriptors, 14 before the changes). a_new_address_takes_effect_while_a_call_to_the_old_one_hangs guards the cancellation; before, it failed only for its log line.

--- a/crates/gateway-net/src/discovery.rs
+++ b/crates/gateway-net/src/discovery.rs
@@ -1,101 +1,152 @@
-//! Client of the discovery stream: reconnects whenever a connection ends.
+//! Client of the discovery stream: calls the service again whenever a call fails or a stream ends.
 
+use smol::Task;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tidespur_gateway::discovery::EventStreamDecoder;
-use tidespur_net::{Client, clock};
+use tidespur_net::client::Lines;
+use tidespur_net::{Client, NetError, clock};
 
-/// A stream without a line for this long is closed, in seconds. The platform sends a comment each second.
-const SILENCE_TIMEOUT: f64 = 2.0;
 /// Time limit for a call, from dialling to the head of the response, in seconds: the 2 s that the platform gives a
 /// call, and the 50 ms by which its time limits are longer on sockets.
 const CALL_TIMEOUT: f64 = 2.05;
-/// A connection that lasted less than this is followed by [`RECONNECT_BACKOFF`], in seconds.
-const SHORT_CONNECTION: f64 = 0.5;
-/// Pause after a short connection, in seconds.
+/// A call that ended within this time is followed by [`RECONNECT_BACKOFF`], in seconds.
+const SHORT_CALL: f64 = 0.5;
+/// Pause after a short call, in seconds.
 const RECONNECT_BACKOFF: f64 = 0.1;
+/// Path of the stream.
+const STREAM_PATH: &str = "/board/poll";
+/// A stream without a line for this long is closed, in seconds. The platform sends a comment each second.
+const SILENCE_TIMEOUT: f64 = 2.0;
 /// The old stream is read for at most this long after a change of the address, in seconds; the platform closes it after
-/// 1.5 s. Bounds the number of open streams if the address changes back and forth.
+/// 1.5 s.
 const OLD_STREAM_TIMEOUT: f64 = 3.0;
 
-/// The current address of the discovery stream, which a reload of the configuration can change.
+/// Why a call brought no stream.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    #[error("{0}")]
+    Net(#[from] NetError),
+    #[error("status {0}")]
+    Status(u16),
+}
+
+/// The stream at one address.
 #[derive(Debug)]
-pub struct DiscoveryAddress {
-    current: RefCell<String>,
-    /// Number of changes of the address.
-    changes: Cell<u32>,
-    /// Time of the last change, in seconds of [`clock::now`].
-    changed_at: Cell<f64>,
+pub struct Subscription {
+    address: String,
+    has_stream: Cell<bool>,
+    /// When another address took the place of this one, in seconds of [`clock::now`].
+    replaced_at: Cell<Option<f64>>,
 }
 
-impl DiscoveryAddress {
-    /// Starts with the address of the first configuration.
+impl Subscription {
+    /// A subscription at this address, `IP:PORT`, without a stream.
     pub fn new(address: String) -> Self {
         Self {
-            current: RefCell::new(address),
-            changes: Cell::new(0),
-            changed_at: Cell::new(0.0),
+            address,
+            has_stream: Cell::new(false),
+            replaced_at: Cell::new(None),
         }
     }
 
-    /// Changes the address; returns false if it is the current one already.
-    pub fn change_to(&self, address: &str) -> bool {
-        if *self.current.borrow() == address {
-            return false;
+    /// How much longer the stream may be read, in seconds.
+    fn time_left(&self) -> f64 {
+        self.replaced_at.get().map_or(f64::INFINITY, |replaced_at| {
+            replaced_at + OLD_STREAM_TIMEOUT - clock::now()
+        })
+    }
+}
+
+/// A subscription, and the task that follows it; dropping the task cancels its call or closes its stream.
+#[derive(Debug)]
+struct Follower {
+    subscription: Rc<Subscription>,
+    task: Task<()>,
+}
+
+/// The subscription at the current address, and the stream at the address before while that is read to its end.
+#[derive(Debug, Default)]
+pub struct Subscriptions {
+    current: RefCell<Option<Follower>>,
+    previous: RefCell<Option<Task<()>>>,
+}
+
+impl Subscriptions {
+    /// Whether the current subscription is at this address.
+    pub fn is_current(&self, address: &str) -> bool {
+        self.current
+            .borrow()
+            .as_ref()
+            .is_some_and(|current| current.subscription.address == address)
+    }
+
+    /// Makes a subscription the current one; `task` follows it. A call to the address before is cancelled. An open
+    /// stream there is read to its end, and takes the place of an earlier such stream, so that two are open at most.
+    pub fn replace(&self, subscription: Rc<Subscription>, task: Task<()>) {
+        let new = Follower { subscription, task };
+        let Some(old) = self.current.replace(Some(new)) else {
+            return;
+        };
+        if old.subscription.has_stream.get() {
+            old.subscription.replaced_at.set(Some(clock::now()));
+            self.previous.replace(Some(old.task));
+        } else {
+            tracing::info!(board = old.subscription.address, "discovery call cancelled");
         }
-        self.current.replace(address.to_owned());
-        self.changes.set(self.changes.get() + 1);
-        self.changed_at.set(clock::now());
-        true
     }
 }
 
-/// Reads the stream at the current address, over one connection after another, and passes the data of each event to
-/// `on_event`. Each connection resumes after `last_revision`. Once the address has changed, the rest of the old stream
-/// is read, and the function returns.
+/// Follows the stream of a subscription over one call after another, and passes the data of each event to `on_event`.
+/// Each call resumes after `last_revision`. Once the address has changed, the rest of the stream is read, and the
+/// function returns.
 pub async fn follow(
-    current: Rc<DiscoveryAddress>,
+    subscription: Rc<Subscription>,
     last_revision: impl Fn() -> u64,
     mut on_event: impl FnMut(&str),
 ) {
-    let (address, changes) = (current.current.borrow().clone(), current.changes.get());
+    let board = &subscription.address;
     loop {
-        let connected_at = clock::now();
-        let time_left = || {
-            if current.changes.get() == changes {
-                f64::INFINITY
-            } else {
-                current.changed_at.get() + OLD_STREAM_TIMEOUT - clock::now()
+        let called_at = clock::now();
+        let reason = match open_stream(board, last_revision()).await {
+            Ok(lines) => {
+                subscription.has_stream.set(true);
+                let reason = read_events(lines, &subscription, &mut on_event).await;
+                subscription.has_stream.set(false);
+                reason
             }
+            Err(error) => error.to_string(),
         };
-        let reason = read_stream(&address, last_revision(), time_left, &mut on_event).await;
-        tracing::info!(board = address, reason, "discovery stream ended");
-        if current.changes.get() != changes {
+        tracing::info!(board, reason, "discovery stream ended");
+        if subscription.replaced_at.get().is_some() {
             return;
         }
-        if clock::now() - connected_at < SHORT_CONNECTION {
+        if clock::now() - called_at < SHORT_CALL {
             clock::sleep(RECONNECT_BACKOFF).await;
         }
     }
 }
 
-/// Reads the stream over one connection until that ends or no time is left; returns the reason for its end.
-async fn read_stream(
-    address: &str,
-    last_revision: u64,
-    time_left: impl Fn() -> f64,
-    on_event: &mut impl FnMut(&str),
-) -> String {
+/// Calls the service, which then sends the events after `last_revision`.
+async fn open_stream(address: &str, last_revision: u64) -> Result<Lines, CallError> {
     let headers = vec![("last-event-id", last_revision.to_string())];
     let client = Client::new(address, 1, headers);
-    let mut lines = match client.stream_lines("/board/poll", CALL_TIMEOUT).await {
-        Ok(lines) if lines.status.is_success() => lines,
-        Ok(lines) => return format!("status {}", lines.status),
-        Err(error) => return error.to_string(),
-    };
+    let lines = client.stream_lines(STREAM_PATH, CALL_TIMEOUT).await?;
+    if !lines.status.is_success() {
+        return Err(CallError::Status(lines.status.as_u16()));
+    }
+    Ok(lines)
+}
+
+/// Reads events until the stream ends or no time is left; returns the reason for its end.
+async fn read_events(
+    mut lines: Lines,
+    subscription: &Subscription,
+    on_event: &mut impl FnMut(&str),
+) -> String {
     let mut events = EventStreamDecoder::default();
     loop {
-        let time_left = time_left();
+        let time_left = subscription.time_left();
         if time_left <= 0.0 {
             return "the address has changed".into();
         }
--- a/crates/gateway-net/src/run.rs
+++ b/crates/gateway-net/src/run.rs
@@ -12,7 +12,7 @@
 use crate::StartError;
 use crate::config::{self, Config};
 use crate::connection::Connection;
-use crate::discovery::DiscoveryAddress;
+use crate::discovery::Subscriptions;
 use crate::socket::{READ_BUFFER_BYTES, Socket};
 use crate::unsent::SharedBudget;
 use async_io::Async;
@@ -55,7 +55,7 @@
     queue: RefCell<InputQueue>,
     /// Holds one message while [`EventLoop::handle_queue`] has inputs to handle.
     input_signal: (Sender<()>, Receiver<()>),
-    discovery_address: Rc<DiscoveryAddress>,
+    discovery: Subscriptions,
     /// Name of this scheduler, for log lines.
     name: String,
     /// Set once the process is to exit: time limit for sending the unsent bytes, in seconds.
@@ -98,7 +98,7 @@
             queue: RefCell::new(InputQueue::new(limits.memory.queued_bytes)),
             client_unsent: Rc::new(RefCell::new(ByteBudget::new(limits.memory.unsent_bytes))),
             input_signal: smol::channel::bounded(1),
-            discovery_address: Rc::new(DiscoveryAddress::new(config.discovery_address.clone())),
+            discovery: Subscriptions::default(),
             name: config.name,
             flush_timeout: Cell::new(None),
         });
@@ -120,7 +120,7 @@
         this.accept_task
             .replace(Some(this.executor.spawn(this.clone().accept_clients())));
         this.spawn(this.clone().handle_signals(signals));
-        this.follow_discovery();
+        this.follow_discovery(config.discovery_address);
         Ok(this)
     }
 
--- a/crates/gateway-net/src/run/control.rs
+++ b/crates/gateway-net/src/run/control.rs
@@ -2,7 +2,7 @@
 
 use super::EventLoop;
 use crate::config;
-use crate::discovery;
+use crate::discovery::{self, Subscription};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::rc::Rc;
@@ -29,8 +29,9 @@
         }
     }
 
-    /// Starts a task that reads the discovery stream at its current address.
-    pub(super) fn follow_discovery(self: &Rc<Self>) {
+    /// Starts a task that follows the discovery stream at this address, in place of the current one.
+    pub(super) fn follow_discovery(self: &Rc<Self>, address: String) {
+        let subscription = Rc::new(Subscription::new(address));
         let this = self.clone();
         let last_revision = move || this.gateway.borrow().last_revision();
         let this = self.clone();
@@ -44,11 +45,12 @@
                 }
             }
         };
-        self.spawn(discovery::follow(
-            self.discovery_address.clone(),
+        let task = self.executor.spawn(discovery::follow(
+            subscription.clone(),
             last_revision,
             on_event,
         ));
+        self.discovery.replace(subscription, task);
     }
 
     pub(super) async fn handle_signals(self: Rc<Self>, mut signals: Signals) {
@@ -73,13 +75,13 @@
         for _ in 0..MAX_RELOAD_ATTEMPTS {
             match config::load() {
                 Ok(config) => {
-                    if self.discovery_address.change_to(&config.discovery_address) {
+                    if !self.discovery.is_current(&config.discovery_address) {
                         tracing::info!(
                             scheduler = self.name,
                             board = config.discovery_address,
                             "discovery address changed"
                         );
-                        self.follow_discovery();
+                        self.follow_discovery(config.discovery_address);
                     }
                     return;
                 }
--- a/crates/planner/tests/gateway_slow_discovery.rs
+++ b/crates/planner/tests/gateway_slow_discovery.rs
@@ -1,12 +1,13 @@
-//! A discovery service that is slow to answer.
+//! A discovery service that is slow to answer, or that moves.
 
 mod common;
 
 use common::machine::Machine;
 use common::{
-    GatewayProcess, accept, connect_client, listen, pool_event, read_discovery_call, send_event,
+    GatewayProcess, accept, accept_discovery, connect_client, listen, pool_event,
+    read_discovery_call, send_event, write_config,
 };
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -36,6 +37,11 @@
     machine.place_task(&mut connect_client(gateway), 5);
 }
 
+/// Waits until the gateway has closed the connection.
+fn assert_closed(mut stream: TcpStream) {
+    assert_eq!(stream.read(&mut [0]).expect("the end of the stream"), 0);
+}
+
 fn assert_no_call(listener: &TcpListener) {
     listener.set_nonblocking(true).unwrap();
     let error = listener.accept().expect_err("there is no further call");
@@ -67,3 +73,40 @@
     );
     assert_event_is_applied(&gateway, &mut stream);
 }
+
+#[test]
+fn a_new_address_takes_effect_while_a_call_to_the_old_one_hangs() {
+    let ((old_listener, old_address), (new_listener, new_address)) = (listen(), listen());
+    let gateway = start_with_draining_machine("moved-call", old_address);
+    let hanging = accept(&old_listener);
+    read_discovery_call(&hanging);
+    let first = pool_event(1, true, "s-1", listen().1);
+    write_config(&gateway.config, gateway.address, new_address, &first);
+    gateway.signal("-HUP");
+    let (last_event_id, mut stream) = accept_discovery(&new_listener);
+    assert_eq!(last_event_id, 1);
+    gateway.wait_for_log("discovery call cancelled");
+    assert_closed(hanging);
+    assert_event_is_applied(&gateway, &mut stream);
+    assert_no_call(&old_listener);
+}
+
+// Guards against streams that pile up: each change of the address used to prolong the reading of all earlier streams.
+#[test]
+fn changes_of_the_address_in_quick_succession_leave_two_streams_open() {
+    let listeners: Vec<_> = (0..13).map(|_| listen()).collect();
+    let first = pool_event(1, true, "s-1", listen().1);
+    let gateway = GatewayProcess::start("moves", listeners[0].1, &first);
+    let mut streams = vec![accept_discovery(&listeners[0].0).1];
+    drop(connect_client(&gateway));
+    let before = gateway.descriptor_count();
+    for (listener, address) in &listeners[1..] {
+        write_config(&gateway.config, gateway.address, *address, &first);
+        gateway.signal("-HUP");
+        streams.push(accept_discovery(listener).1);
+    }
+    // One more than before for the old stream, and some for connections that are being closed.
+    let after = gateway.descriptor_count();
+    assert!(after <= before + 4, "{after} descriptors, {before} before");
+    assert_event_is_applied(&gateway, streams.last_mut().unwrap());
+}
