Gateway: failed calls to discovery are repeated with backoff and jitter

Seen: nothing by callers. While discovery is down or crowded, each scheduler calls it ten times a second, or again at once if a call hung for 0.5 s; schedulers that lost their streams together call together.

Nothing grew with failures.

Now Reconnect (gateway/src/discovery/reconnect.rs, no I/O, own seed) decides on the pause: 0.2 s, doubled up to 0.8 s, shortened by a random part of up to half; back to 0.2 s after a stream that was open for 1 s; a new address is called at once. A warning tells how long there has been no stream, and the counters show calls, failed calls and the outage.

--- a/crates/gateway-net/src/discovery.rs
+++ b/crates/gateway-net/src/discovery.rs
@@ -1,19 +1,15 @@
 //! Client of the discovery stream: calls the service again whenever a call fails or a stream ends.
+//!
+//! [`Reconnect`] decides when to call; this module makes the calls, each within [`CALL_TIMEOUT`].
 
 use smol::Task;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tidespur_gateway::discovery::EventStreamDecoder;
+use tidespur_gateway::discovery::reconnect::{CALL_TIMEOUT, Reconnect};
 use tidespur_net::client::Lines;
 use tidespur_net::{Client, NetError, clock};
 
-/// Time limit for a call, from dialling to the head of the response, in seconds: the 2 s that the platform gives a
-/// call, and the 50 ms by which its time limits are longer on sockets.
-const CALL_TIMEOUT: f64 = 2.05;
-/// A call that ended within this time is followed by [`RECONNECT_BACKOFF`], in seconds.
-const SHORT_CALL: f64 = 0.5;
-/// Pause after a short call, in seconds.
-const RECONNECT_BACKOFF: f64 = 0.1;
 /// Path of the stream.
 const STREAM_PATH: &str = "/board/poll";
 /// A stream without a line for this long is closed, in seconds. The platform sends a comment each second.
@@ -102,28 +98,39 @@
 /// function returns.
 pub async fn follow(
     subscription: Rc<Subscription>,
+    reconnect: Rc<RefCell<Reconnect>>,
     last_revision: impl Fn() -> u64,
     mut on_event: impl FnMut(&str),
 ) {
     let board = &subscription.address;
     loop {
-        let called_at = clock::now();
-        let reason = match open_stream(board, last_revision()).await {
+        reconnect.borrow_mut().call_started();
+        let pause = match open_stream(board, last_revision()).await {
             Ok(lines) => {
+                let outage = reconnect.borrow_mut().stream_opened(clock::now());
+                tracing::info!(board, ?outage, "discovery stream opened");
                 subscription.has_stream.set(true);
                 let reason = read_events(lines, &subscription, &mut on_event).await;
                 subscription.has_stream.set(false);
-                reason
+                tracing::info!(board, reason, "discovery stream ended");
+                if subscription.replaced_at.get().is_some() {
+                    return;
+                }
+                reconnect.borrow_mut().stream_ended(clock::now())
+            }
+            Err(error) => {
+                let retry = reconnect.borrow_mut().call_failed(clock::now());
+                tracing::debug!(board, %error, pause = retry.pause, "discovery call failed");
+                if let Some(outage) = retry.warning {
+                    tracing::warn!(
+                        board, %error, ?outage,
+                        "no discovery stream, the endpoint list is not updated; check the discovery service and its address"
+                    );
+                }
+                retry.pause
             }
-            Err(error) => error.to_string(),
         };
-        tracing::info!(board, reason, "discovery stream ended");
-        if subscription.replaced_at.get().is_some() {
-            return;
-        }
-        if clock::now() - called_at < SHORT_CALL {
-            clock::sleep(RECONNECT_BACKOFF).await;
-        }
+        clock::sleep(pause).await;
     }
 }
 
--- a/crates/gateway-net/src/run.rs
+++ b/crates/gateway-net/src/run.rs
@@ -24,6 +24,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use tidespur_gateway::byte_budget::ByteBudget;
+use tidespur_gateway::discovery::reconnect::Reconnect;
 use tidespur_gateway::input_queue::{InputQueue, StepNumber};
 use tidespur_gateway::{DownstreamId, Gateway, Input, Limits, UpstreamId};
 use tidespur_net::clock;
@@ -56,6 +57,8 @@
     /// Holds one message while [`EventLoop::handle_queue`] has inputs to handle.
     input_signal: (Sender<()>, Receiver<()>),
     discovery: Subscriptions,
+    /// When the discovery service is called again; shared by the subscriptions at its addresses.
+    reconnect: Rc<RefCell<Reconnect>>,
     /// Name of this scheduler, for log lines.
     name: String,
     /// Set once the process is to exit: time limit for sending the unsent bytes, in seconds.
@@ -99,6 +102,7 @@
             client_unsent: Rc::new(RefCell::new(ByteBudget::new(limits.memory.unsent_bytes))),
             input_signal: smol::channel::bounded(1),
             discovery: Subscriptions::default(),
+            reconnect: Rc::new(RefCell::new(Reconnect::new(clock::now(), config.seed))),
             name: config.name,
             flush_timeout: Cell::new(None),
         });
--- a/crates/gateway-net/src/run/control.rs
+++ b/crates/gateway-net/src/run/control.rs
@@ -47,6 +47,7 @@
         };
         let task = self.executor.spawn(discovery::follow(
             subscription.clone(),
+            self.reconnect.clone(),
             last_revision,
             on_event,
         ));
@@ -81,6 +82,7 @@
                             board = config.discovery_address,
                             "discovery address changed"
                         );
+                        self.reconnect.borrow_mut().address_changed(clock::now());
                         self.follow_discovery(config.discovery_address);
                     }
                     return;
@@ -125,6 +127,7 @@
             downstreams = sizes.downstreams,
             upstreams = sizes.upstreams,
             machines = sizes.machines,
+            discovery = ?self.reconnect.borrow().counts(clock::now()),
             ?counts
         );
     }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,5 +1,7 @@
 //! Parser of the discovery stream: server-sent events that carry watch events of the endpoint list.
 
+pub mod reconnect;
+
 use serde::Deserialize;
 use tidespur_policy::interface::{Endpoint, EndpointStatus, MachineId, Resources};
 use tidespur_site_settings::{Site, convert};
--- a/crates/planner/tests/gateway_slow_discovery.rs
+++ b/crates/planner/tests/gateway_slow_discovery.rs
@@ -1,11 +1,11 @@
-//! A discovery service that is slow to answer, or that moves.
+//! A discovery service that is slow or crowded, or that moves while a call to it hangs.
 
 mod common;
 
 use common::machine::Machine;
 use common::{
     GatewayProcess, accept, accept_discovery, connect_client, listen, pool_event,
-    read_discovery_call, send_event, write_config,
+    read_discovery_call, send_event, set_up, write_config,
 };
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -14,11 +14,16 @@
 /// How long the service takes to answer a call. The platform gives it 2 s.
 const SLOW_ANSWER: Duration = Duration::from_millis(1500);
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n: here\n\n";
+const UNAVAILABLE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 
 /// Starts a gateway whose only machine is draining. Event 2 of a test lists a usable one.
-fn start_with_draining_machine(test: &str, discovery: SocketAddr) -> GatewayProcess {
+fn start_with_draining_machine(
+    test: &str,
+    discovery: SocketAddr,
+    change: impl Fn(String) -> String,
+) -> GatewayProcess {
     let draining = pool_event(1, true, "s-1", listen().1).replace("Ready", "Terminating");
-    GatewayProcess::start(test, discovery, &draining)
+    GatewayProcess::start_with(test, discovery, &draining, change)
 }
 
 /// Accepts a call and answers it late.
@@ -52,7 +57,7 @@
 #[test]
 fn a_call_that_is_answered_within_the_time_that_the_platform_allows_is_followed() {
     let (discovery_listener, discovery_address) = listen();
-    let gateway = start_with_draining_machine("slow-answer", discovery_address);
+    let gateway = start_with_draining_machine("slow-answer", discovery_address, |c| c);
     let (last_event_id, mut stream) = answer_slowly(&discovery_listener);
     assert_eq!(last_event_id, 1);
     assert_event_is_applied(&gateway, &mut stream);
@@ -62,7 +67,7 @@
 #[test]
 fn an_event_cut_off_by_a_slow_service_is_read_again_from_its_beginning() {
     let (discovery_listener, discovery_address) = listen();
-    let gateway = start_with_draining_machine("slow-cut", discovery_address);
+    let gateway = start_with_draining_machine("slow-cut", discovery_address, |c| c);
     let (_, mut stream) = answer_slowly(&discovery_listener);
     stream.write_all(b"id: 2\ndata: {\"rev\":2,").unwrap();
     drop(stream);
@@ -74,10 +79,23 @@
     assert_event_is_applied(&gateway, &mut stream);
 }
 
+#[test]
+fn a_call_that_hangs_is_closed_and_repeated_after_the_last_event() {
+    let (discovery_listener, discovery_address) = listen();
+    let gateway = start_with_draining_machine("hanging-call", discovery_address, |c| c);
+    let hanging = accept(&discovery_listener);
+    assert_eq!(read_discovery_call(&hanging), 1);
+    assert_closed(hanging);
+    gateway.wait_for_log("no discovery stream");
+    let (last_event_id, mut stream) = accept_discovery(&discovery_listener);
+    assert_eq!(last_event_id, 1);
+    assert_event_is_applied(&gateway, &mut stream);
+}
+
 #[test]
 fn a_new_address_takes_effect_while_a_call_to_the_old_one_hangs() {
     let ((old_listener, old_address), (new_listener, new_address)) = (listen(), listen());
-    let gateway = start_with_draining_machine("moved-call", old_address);
+    let gateway = start_with_draining_machine("moved-call", old_address, |c| c);
     let hanging = accept(&old_listener);
     read_discovery_call(&hanging);
     let first = pool_event(1, true, "s-1", listen().1);
@@ -110,3 +128,28 @@
     assert!(after <= before + 4, "{after} descriptors, {before} before");
     assert_event_is_applied(&gateway, streams.last_mut().unwrap());
 }
+
+#[test]
+fn a_crowded_service_is_followed_once_it_answers_though_clients_hold_all_descriptors() {
+    let (discovery_listener, discovery_address) = listen();
+    let few_sockets = |config: String| config.replace(r#""sockets":256"#, r#""sockets":48"#);
+    let gateway = start_with_draining_machine("crowded", discovery_address, few_sockets);
+    let _idle_clients: Vec<TcpStream> = (0..60).map(|_| gateway.connect()).collect();
+    for _ in 0..3 {
+        let mut call = accept(&discovery_listener);
+        assert_eq!(read_discovery_call(&call), 1);
+        call.write_all(UNAVAILABLE).unwrap();
+        assert_closed(call);
+    }
+    let (last_event_id, mut stream) = accept_discovery(&discovery_listener);
+    assert_eq!(last_event_id, 1);
+    let mut machine = Machine::new();
+    send_event(
+        &mut stream,
+        2,
+        &pool_event(2, false, "s-2", machine.address),
+    );
+    let mut owner = gateway.connect();
+    owner.write_all(&set_up(5)).unwrap();
+    assert_eq!(machine.wait_for_set_up().1, 5);
+}
