Tests: streams are counted until they are closed, however late that happens

changes_of_the_address_in_quick_succession_leave_two_streams_open counted descriptors once, with room for four connections that are still being closed, which a busy machine may exceed.

--- a/crates/planner/tests/gateway_slow_discovery.rs
+++ b/crates/planner/tests/gateway_slow_discovery.rs
@@ -13,6 +13,9 @@
 
 /// How long the service takes to answer a call. The platform gives it 2 s.
 const SLOW_ANSWER: Duration = Duration::from_millis(1500);
+/// Changes of the address after which the open streams are counted, and the most in a test.
+const MIN_ADDRESS_CHANGES: usize = 12;
+const MAX_ADDRESS_CHANGES: usize = 60;
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n: here\n\n";
 const UNAVAILABLE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 
@@ -112,21 +115,24 @@
 // Guards against streams that pile up: each change of the address used to prolong the reading of all earlier streams.
 #[test]
 fn changes_of_the_address_in_quick_succession_leave_two_streams_open() {
-    let listeners: Vec<_> = (0..13).map(|_| listen()).collect();
-    let first = pool_event(1, true, "s-1", listen().1);
-    let gateway = GatewayProcess::start("moves", listeners[0].1, &first);
-    let mut streams = vec![accept_discovery(&listeners[0].0).1];
+    let (first_address, second_address) = (listen(), listen());
+    let first_event = pool_event(1, true, "s-1", listen().1);
+    let gateway = GatewayProcess::start("moves", first_address.1, &first_event);
+    let mut streams = vec![accept_discovery(&first_address.0).1];
     drop(connect_client(&gateway));
     let before = gateway.descriptor_count();
-    for (listener, address) in &listeners[1..] {
-        write_config(&gateway.config, gateway.address, *address, &first);
+    for change in 1..=MAX_ADDRESS_CHANGES {
+        let (listener, address) = [&first_address, &second_address][change % 2];
+        write_config(&gateway.config, gateway.address, *address, &first_event);
         gateway.signal("-HUP");
         streams.push(accept_discovery(listener).1);
+        // One stream more than before; others may be about to be closed, so a later look counts as well.
+        if change >= MIN_ADDRESS_CHANGES && gateway.descriptor_count() <= before + 1 {
+            return assert_event_is_applied(&gateway, streams.last_mut().unwrap());
+        }
     }
-    // One more than before for the old stream, and some for connections that are being closed.
     let after = gateway.descriptor_count();
-    assert!(after <= before + 4, "{after} descriptors, {before} before");
-    assert_event_is_applied(&gateway, streams.last_mut().unwrap());
+    panic!("{after} descriptors, {before} before");
 }
 
 #[test]
