Tests: a connection of another process is not taken for the gateway's

Cause: connection_end in planner/tests/common/system.rs takes the first line of the socket table with the client's address as its peer. The table has the sockets of all processes and those in TIME_WAIT, and the kernel uses a port again for another destination, so the line may be of another connection, for as long as that stays. Now the line's own address must be one of the process's.

Product code is unchanged.

--- a/crates/planner/tests/common/system.rs
+++ b/crates/planner/tests/common/system.rs
@@ -112,10 +112,13 @@
 /// A process's end of the connection from `peer`; `None` once it is gone.
 pub fn connection_end(pid: u32, peer: SocketAddr) -> Option<ConnectionEnd> {
     let remote = table_address(peer)?;
+    // The table has the sockets of all processes, and connections to others may come from the same address and port.
+    let own: Vec<String> = sockets(pid).into_iter().map(|(.., local)| local).collect();
     let table = socket_table(pid, "tcp").unwrap();
-    let line = table
-        .iter()
-        .find(|line| line.field(REMOTE_ADDRESS) == remote)?;
+    let line = table.iter().find(|line| {
+        let is_own = own.iter().any(|own| own == line.field(LOCAL_ADDRESS));
+        is_own && line.field(REMOTE_ADDRESS) == remote
+    })?;
     let received = line.field(QUEUES).split_once(':').map(|queues| queues.1);
     let bytes = received.and_then(|bytes| usize::from_str_radix(bytes, 16).ok());
     Some(ConnectionEnd {
