--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,552 @@
+//! The cases of the second review.
+
+use crate::Verdict;
+use crate::machine::Machine;
+use crate::owner::{self, Ask, Owner};
+use crate::platform::{Listed, Record, Scheduler, sleep};
+use crate::proxy::{self, Resets, Way};
+use crate::wire;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const A: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 1);
+const B: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
+/// Each time limit on sockets is this much longer.
+const SLACK: f64 = 0.05;
+/// What has stood and is over must be released within this time of its end.
+const RELEASE_LIMIT: f64 = 8.0;
+
+/// The settings of the booking cluster, with one scheduler.
+const BOOKING: &str = r#"{"balancers":1,"ordinal":0,"locality":0,"callers":{"marksRetry":true},"countedBy":"work","discovery":"ask","family":"place",
+ "familyInfo":{"acceptsMemory":1.5,"ack":"accepted","admitCores":2.5,"apartBy":["machine","cell"],"checkAfterS":3.0,"classCalm":[1.0,0.8],"coldBears":13.0,"evictionAsMoves":2.0,"kindByClass":[-1,-1],"kindCores":[24,48],"listsFree":true,"lostAfter":[1.0,0.15],"makesRoom":false,"meanCores":1.25,"measuredBy":"used","memOfKind":[48.0,96.0],"oneHome":false,"priorityByClass":[0,2],"refusedPrice":0.03,"startSeconds":[10.0,8.0],"togetherMax":[2,3]},
+ "kinds":["std-24","gross-48"],"zones":["halle-a","halle-b"],"realms":[],
+ "limits":{"cancel":true,"connIdleS":30.0,"connectTimeoutS":0.25,"maxAttempts":4,"maxRetryAfterS":3.0,"peers":false,"probes":false,"retryAfter":false,"secondCopies":false},
+ "overShareWorth":0.1,"report":{"fields":["x0","x1","q"],"via":"answers"},
+ "safety":{"answerSlackS":0.008,"askWithinS":10.0,"coldFrom":0.15,"coldS":18.0,"drainGraceS":1.0,"fallMultiple":2.5,"overloadForS":1.0},
+ "services":[{"aimS":0.7,"credit":1.0,"deadlineS":6.0,"effect":"safe","group":"all","lasting":true,"lateWorth":0.1,"name":"termin-web","windowS":5.0},{"aimS":4.5,"credit":3.0,"deadlineS":8.5,"effect":"unsafe","group":"all","lasting":true,"lateWorth":0.1,"name":"slot-abgleich","windowS":5.0}],
+ "tariffs":{"discovery":0.004,"fleet":0.0,"moves":0.08,"waste":0.08}}"#;
+
+/// The settings of the metering cluster, with one scheduler.
+const METERING: &str = r#"{"balancers":1,"ordinal":0,"locality":0,"callers":{"marksRetry":false},"countedBy":"work","discovery":"ask","family":"place",
+ "familyInfo":{"acceptsMemory":1.5,"ack":"accepted","admitCores":2.0,"apartBy":["none","none"],"checkAfterS":3.0,"classCalm":[1.0,0.8],"coldBears":13.0,"evictionAsMoves":2.0,"kindByClass":[-1,-1],"kindCores":[36,60],"listsFree":true,"lostAfter":[1.0,0.25],"makesRoom":true,"meanCores":0.6,"measuredBy":"used","memOfKind":[90.0,150.0],"oneHome":true,"priorityByClass":[0,2],"refusedPrice":0.03,"startSeconds":[12.0,10.0],"togetherMax":[0,0]},
+ "kinds":["knoten-klein","knoten-gross"],"zones":["raum-west"],"realms":[],
+ "limits":{"cancel":true,"connIdleS":30.0,"connectTimeoutS":0.25,"maxAttempts":4,"maxRetryAfterS":3.0,"peers":false,"probes":false,"retryAfter":false,"secondCopies":false},
+ "overShareWorth":0.2,"report":{"fields":["x0","x1"],"via":"probe"},
+ "safety":{"answerSlackS":0.008,"askWithinS":10.0,"coldFrom":0.17,"coldS":15.0,"drainGraceS":0.5,"fallMultiple":4.0,"overloadForS":3.0},
+ "services":[{"aimS":1.0,"credit":1.0,"deadlineS":5.0,"effect":"safe","group":"all","lasting":true,"lateWorth":0.1,"name":"dienst","windowS":5.0},{"aimS":5.5,"credit":3.0,"deadlineS":10.0,"effect":"keyed","group":"cell","lasting":true,"lateWorth":0.1,"name":"abrechnung","windowS":8.0}],
+ "tariffs":{"discovery":0.004,"fleet":0.0,"moves":0.08,"waste":0.08}}"#;
+
+pub fn run(case: &str, trouble: bool, record: &Record) -> io::Result<Verdict> {
+    match case {
+        "crowd" => crowd_of_clients(trouble, record),
+        "restart-of-services" => restart_of_services(trouble, record),
+        "end-lost" => end_lost_in_a_reset(trouble, record),
+        "foreign-release" => release_to_another_owner(trouble, record),
+        "release-lost" => release_lost_in_a_reset(trouble, record),
+        "release-held-back" => release_held_back(trouble, record),
+        other => Err(io::Error::other(format!("there is no case {other}"))),
+    }
+}
+
+/// A deployment: machines behind proxies, and one scheduler.
+struct Deployment {
+    machines: Vec<Arc<Machine>>,
+    scheduler: Scheduler,
+}
+
+impl Deployment {
+    fn start(
+        settings: &str,
+        count: usize,
+        seconds_per_ask: f64,
+        descriptors: usize,
+        resets: &Resets,
+        record: &Record,
+    ) -> io::Result<Self> {
+        let is_booking = settings == BOOKING;
+        let mut machines = Vec::new();
+        let mut listed = Vec::new();
+        for n in 0..count {
+            let is_large = n % 2 == 1;
+            let (kind, cores, memory, overcommit, zone) = match (is_booking, is_large) {
+                (true, false) => ("std-24", 24.0, 48.0, 2.5, "halle-a"),
+                (true, true) => ("gross-48", 48.0, 96.0, 2.5, "halle-b"),
+                (false, false) => ("knoten-klein", 36.0, 90.0, 2.0, "raum-west"),
+                (false, true) => ("knoten-gross", 60.0, 150.0, 2.0, "raum-west"),
+            };
+            let name = format!("s-{n:08x}");
+            let limits = (cores * overcommit, memory * 1.5);
+            let machine = Machine::start(&name, limits, seconds_per_ask, record)?;
+            listed.push(Listed {
+                name,
+                address: proxy::start(machine.address, resets.clone(), record)?,
+                kind,
+                cell: n / 4,
+                zone,
+                cores,
+                memory,
+            });
+            machines.push(machine);
+        }
+        let scheduler = Scheduler::start(&listed, settings, descriptors, record)?;
+        Ok(Self {
+            machines,
+            scheduler,
+        })
+    }
+
+    fn owner(&self, name: &str, from: Ipv4Addr, record: &Record) -> io::Result<Owner> {
+        Owner::connect(name, from, self.scheduler.address, true, record)
+    }
+
+    /// The machine at which a task stands.
+    fn holder(&self, id: u64) -> Option<&Arc<Machine>> {
+        self.machines.iter().find(|machine| machine.holds(id))
+    }
+}
+
+fn no_resets() -> Resets {
+    Arc::new(|_, _| false)
+}
+
+fn could_not(text: &str) -> io::Result<Verdict> {
+    Ok(Verdict::CouldNotRun(text.to_owned()))
+}
+
+fn web(id: u64, task: &str, service: u64, life: f64) -> Ask<'_> {
+    Ask {
+        id,
+        class: "termin-web",
+        task,
+        service,
+        cores: 0.5,
+        memory: 1.0,
+        life,
+        patience: 6.0,
+        is_retry: false,
+    }
+}
+
+/// More bad clients than the scheduler keeps connections; each sends hundreds of requests at once, and the same again
+/// as soon as it is turned away. Then they go.
+fn crowd_of_clients(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    const USUAL_CROWD: usize = 150;
+    const SECONDS: f64 = 8.0;
+    const PATIENCE: f64 = 6.0;
+    // CROWD=60 and the like show that fewer clients than the scheduler keeps connections do no harm.
+    let crowd_size = std::env::var("CROWD")
+        .ok()
+        .and_then(|size| size.parse().ok())
+        .unwrap_or(USUAL_CROWD);
+    let mut deployment = Deployment::start(BOOKING, 10, 0.02, 256, &no_resets(), record)?;
+    let to = deployment.scheduler.address;
+    let owner = deployment.owner("owner", A, record)?;
+    owner.ask(&web(0x6001, "6000000000000001", 0x61, 60.0))?;
+    if owner.wait_for(wire::ANSWER, 0x6001, PATIENCE).is_none() {
+        return could_not("the first set-up was not served");
+    }
+    sleep(1.0);
+    let mut crowd = Vec::new();
+    if trouble {
+        record.line(&format!("{crowd_size} bad clients connect"));
+        for n in 0..crowd_size {
+            crowd.push(std::thread::spawn(move || {
+                owner::hundreds_at_once(to, n, SECONDS)
+            }));
+        }
+    }
+    sleep(SECONDS);
+    let turned_away: usize = crowd
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .sum();
+    record.line(&format!(
+        "the last bad client has gone; they were turned away {turned_away} times"
+    ));
+    // Long after the last bad client: a test, and a set-up on a new connection.
+    sleep(5.0);
+    let before = deployment.scheduler.cpu_seconds();
+    let mut passes_test = false;
+    for _ in 0..5 {
+        passes_test = passes_test || owner::passes_test(to);
+        sleep(0.2);
+    }
+    record.line(&format!(
+        "5 s later the scheduler passes a test: {passes_test}; it used {:.1} s of processor time since",
+        deployment.scheduler.cpu_seconds() - before
+    ));
+    let mut is_answered = false;
+    // Where the backlog of the listener is full, no connection comes up.
+    if let Ok(late) = deployment.owner("owner, on a new connection", A, record) {
+        let id = 0x6002;
+        let asked_at = late.ask(&web(id, "6000000000000002", 0x62, 60.0))?;
+        while !is_answered && asked_at.elapsed().as_secs_f64() < PATIENCE + 0.5 + SLACK {
+            is_answered =
+                late.find(wire::ANSWER, id).is_some() || late.find(wire::RELEASE, id).is_some();
+            sleep(0.01);
+        }
+        record.line(&format!("its set-up was answered: {is_answered}"));
+    }
+    if deployment.scheduler.has_ended() {
+        return Ok(Verdict::Broken("the scheduler has ended by itself".into()));
+    }
+    Ok(if passes_test && is_answered {
+        Verdict::Held("a test was passed and a set-up answered after the crowd".into())
+    } else {
+        Verdict::Broken(format!(
+            "the scheduler hangs: long after the last bad client has gone, passed a test: {passes_test}, answered a set-up within its time: {is_answered}"
+        ))
+    })
+}
+
+/// An owner stops half of its services and asks for all their tasks again, on one new connection, and says
+/// 'release heard' to each release. HEARD=0 leaves these messages out.
+fn restart_of_services(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    // 39 tasks a second that live 34 s on average; 51% of them are asked for again.
+    const TASKS: u64 = 1320;
+    const RESTARTED: u64 = 670;
+    const PER_SECOND: f64 = 39.0;
+    const PATIENCE: f64 = 5.0;
+    let says_heard = std::env::var("HEARD").as_deref() != Ok("0");
+    let mut deployment = Deployment::start(METERING, 10, 0.04, 1024, &no_resets(), record)?;
+    let to = deployment.scheduler.address;
+    let ask = |owner: &Owner, id: u64, n: u64| -> io::Result<Instant> {
+        owner.ask(&Ask {
+            id,
+            class: "dienst",
+            task: &format!("{n:016x}"),
+            service: 0x10 + n / 15,
+            cores: 0.5,
+            memory: 1.0,
+            life: 60.0,
+            patience: PATIENCE,
+            is_retry: false,
+        })
+    };
+    let owner = Owner::connect("owner", A, to, says_heard, record)?;
+    for n in 0..TASKS {
+        ask(&owner, 0x1000 + n, n)?;
+        sleep(1.0 / PER_SECOND);
+    }
+    sleep(1.0);
+    let stands = |n: &u64| owner.find(wire::ANSWER, 0x1000 + n).is_some();
+    let standing: Vec<u64> = (0..TASKS).filter(stands).collect();
+    record.line(&format!("{} of {TASKS} tasks stand", standing.len()));
+    if standing.len() < 1300 || owner.ended_at().is_some() {
+        return could_not("too few tasks stand before the restart of the services");
+    }
+    let again = Owner::connect("owner, again", A, to, says_heard, record)?;
+    for n in standing.iter().filter(|n| **n < RESTARTED) {
+        owner.end(0x1000 + n)?;
+    }
+    // Asked again within 0.25 s, or without the trouble at the usual rate.
+    let pause = if trouble {
+        0.25 / RESTARTED as f64
+    } else {
+        1.0 / PER_SECOND
+    };
+    let begin = Instant::now();
+    let mut asked = BTreeMap::new();
+    for n in 0..RESTARTED {
+        let due = begin + Duration::from_secs_f64(pause * n as f64);
+        sleep(due.saturating_duration_since(Instant::now()).as_secs_f64());
+        match ask(&again, 0x2000 + n, n) {
+            Ok(at) => asked.insert(0x2000 + n, at),
+            Err(_) => break,
+        };
+    }
+    sleep(PATIENCE + 1.0);
+    let (mut served, mut refused, mut open) = (0, 0, Vec::new());
+    for &id in asked.keys() {
+        match (again.find(wire::ANSWER, id), again.find(wire::RELEASE, id)) {
+            (Some(_), _) => served += 1,
+            (None, Some(_)) => refused += 1,
+            (None, None) => open.push(id),
+        }
+    }
+    record.line(&format!(
+        "asked again: {}, served {served}, refused or failed {refused}, unanswered {}",
+        asked.len(),
+        open.len()
+    ));
+    if deployment.scheduler.has_ended() {
+        return Ok(Verdict::Broken("the scheduler has ended by itself".into()));
+    }
+    let Some(ended_at) = again.ended_at() else {
+        return Ok(match open.len() {
+            0 => Verdict::Held(format!("all {} set-ups were answered", asked.len())),
+            n => Verdict::Broken(format!("{n} set-ups have no answer")),
+        });
+    };
+    // Set-ups within 50 ms of the close may be sent again; those whose time was up have failed and are not lost.
+    let lost = open.iter().filter(|id| {
+        let age = ended_at.saturating_duration_since(asked[id]).as_secs_f64();
+        age > SLACK && age < PATIENCE
+    });
+    match lost.count() {
+        0 => could_not("the connection has ended, but no set-up was open on it"),
+        lost => Ok(Verdict::Broken(format!(
+            "the scheduler ended the connection while {lost} set-ups that it had taken were open on it; none got an answer"
+        ))),
+    }
+}
+
+/// The connection to a machine is reset while it carries the scheduler's release of a task that its owner has
+/// ended.
+fn end_lost_in_a_reset(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    const FIRST: u64 = 0x7001;
+    const SECOND: u64 = 0x7002;
+    let is_done = AtomicBool::new(!trouble);
+    let resets: Resets = Arc::new(move |way, message| {
+        way == Way::ToMachine
+            && message.kind == wire::RELEASE
+            && message.id == FIRST
+            && !is_done.swap(true, Ordering::SeqCst)
+    });
+    let deployment = Deployment::start(BOOKING, 10, 0.02, 1024, &resets, record)?;
+    let owner = deployment.owner("owner", A, record)?;
+    let task = "7f3a9c21e0b4d655";
+    let ask = |id: u64, is_retry: bool| Ask {
+        id,
+        class: "slot-abgleich",
+        task,
+        service: 0xb4d6_5521,
+        cores: 8.0,
+        memory: 16.0,
+        life: 60.0,
+        patience: 8.5,
+        is_retry,
+    };
+    owner.ask(&ask(FIRST, false))?;
+    if owner.wait_for(wire::ANSWER, FIRST, 9.0).is_none() {
+        return could_not("the first set-up was not served");
+    }
+    sleep(3.0);
+    owner.end(FIRST)?;
+    if owner.wait_for(wire::HEARD, FIRST, 2.0).is_none() {
+        record.line("the scheduler did not say that it has heard the end");
+    }
+    let ended_at = Instant::now();
+    // The owner asks for the task again within 2.4 s of the stop.
+    sleep(2.0);
+    owner.ask(&ask(SECOND, true))?;
+    if owner.wait_for(wire::ANSWER, SECOND, 9.0).is_none() {
+        return could_not("the second set-up was not served");
+    }
+    let mut together = 0.0;
+    while ended_at.elapsed().as_secs_f64() < 20.0 {
+        if deployment.holder(FIRST).is_some() && deployment.holder(SECOND).is_some() {
+            together += 0.1;
+        }
+        sleep(0.1);
+    }
+    record.line(&format!("both copies ran at once for {together:.1} s"));
+    if deployment.holder(SECOND).is_none() {
+        return could_not("the second copy has ended early");
+    }
+    Ok(match deployment.holder(FIRST) {
+        Some(machine) => Verdict::Broken(format!(
+            "{} still runs the task that its owner ended {:.1} s ago, and its second start runs beside it since {:.1} s",
+            machine.name,
+            ended_at.elapsed().as_secs_f64(),
+            together
+        )),
+        None if together > RELEASE_LIMIT => Verdict::Broken(format!(
+            "two copies of an unsafe task ran at once for {together:.1} s"
+        )),
+        None => Verdict::Held("the task was cut before its second start".into()),
+    })
+}
+
+/// An owner closes its idle connection, and another owner stays connected; then a task of the first one ends.
+fn release_to_another_owner(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    let deployment = Deployment::start(BOOKING, 10, 0.02, 1024, &no_resets(), record)?;
+    let (first, other, later) = (0x8001, 0x8002, 0x8003);
+    let a = deployment.owner("owner a", A, record)?;
+    a.ask(&web(first, "8000000000000001", 0x81, 8.0))?;
+    let b = deployment.owner("owner b", B, record)?;
+    b.ask(&web(other, "8000000000000002", 0x82, 60.0))?;
+    let is_placed = a.wait_for(wire::ANSWER, first, 6.0).is_some()
+        && b.wait_for(wire::ANSWER, other, 6.0).is_some();
+    if !is_placed {
+        return could_not("the tasks were not served");
+    }
+    let Some(machine) = deployment.holder(first) else {
+        return could_not("the task does not stand");
+    };
+    if trouble {
+        sleep(4.2);
+        a.close();
+    }
+    while machine.holds(first) {
+        sleep(0.005);
+    }
+    let ended_at = Instant::now();
+    // The owner is back 0.5 s later, and gets a task placed on its new connection.
+    sleep(0.5);
+    let back = deployment.owner("owner a, again", A, record)?;
+    back.ask(&web(later, "8000000000000003", 0x81, 60.0))?;
+    if back.wait_for(wire::ANSWER, later, 6.0).is_none() {
+        return could_not("the owner's next task was not served");
+    }
+    sleep(12.0 - ended_at.elapsed().as_secs_f64());
+    let found = [&a, &back]
+        .into_iter()
+        .find_map(|connection| connection.find(wire::RELEASE, first));
+    let is_in_time = found.is_some_and(|received| {
+        received
+            .at
+            .saturating_duration_since(ended_at)
+            .as_secs_f64()
+            <= RELEASE_LIMIT + SLACK
+    });
+    let is_foreign = b.find(wire::RELEASE, first).is_some();
+    Ok(match (is_in_time, is_foreign) {
+        (true, false) => Verdict::Held("the owner was told of the end in time".into()),
+        (_, true) => Verdict::Broken(
+            "the release went to an owner at another address that never asked for the task; its own owner was connected, and not told within 8 s".into(),
+        ),
+        (false, false) => Verdict::Broken("the owner was not told within 8 s".into()),
+    })
+}
+
+/// One of two connections to a machine is reset while it carries the release of a task.
+fn release_lost_in_a_reset(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    const TASKS: u64 = 24;
+    let machines: Arc<Mutex<Vec<Arc<Machine>>>> = Arc::default();
+    let victim = Arc::new(AtomicU64::new(if trouble { 0 } else { u64::MAX }));
+    let resets: Resets = {
+        let (machines, victim) = (machines.clone(), victim.clone());
+        Arc::new(move |way, message| {
+            if way != Way::ToScheduler || message.kind != wire::RELEASE || message.cause() != 16 {
+                return false;
+            }
+            let machines = machines.lock().map_or(Vec::new(), |m| m.clone());
+            // Only where the scheduler has another connection to the machine, and a second task stands there.
+            let is_shared = machines.iter().any(|machine| {
+                machine.ended_at(message.id).is_some()
+                    && machine.connection_count() > 1
+                    && machine.task_count() > 0
+            });
+            is_shared
+                && victim
+                    .compare_exchange(0, message.id, Ordering::SeqCst, Ordering::SeqCst)
+                    .is_ok()
+        })
+    };
+    let deployment = Deployment::start(BOOKING, 10, 0.02, 1024, &resets, record)?;
+    if let Ok(mut machines) = machines.lock() {
+        machines.extend(deployment.machines.iter().cloned());
+    }
+    let owner = deployment.owner("owner", A, record)?;
+    for n in 0..TASKS {
+        // Two of three run on, so that machines keep a task.
+        let life = if n % 3 == 0 { 5.0 } else { 60.0 };
+        let task = format!("{:016x}", 0x9000 + n);
+        owner.ask(&web(0x9000 + n, &task, 0x91 + n / 6, life))?;
+    }
+    for n in 0..TASKS {
+        if owner.wait_for(wire::ANSWER, 0x9000 + n, 6.0).is_none() {
+            return could_not("a set-up was not served");
+        }
+    }
+    let is_over = |id: u64| deployment.machines.iter().find_map(|m| m.ended_at(id));
+    let short: Vec<u64> = (0..TASKS).step_by(3).map(|n| 0x9000 + n).collect();
+    while !short.iter().all(|&id| is_over(id).is_some()) {
+        sleep(0.05);
+    }
+    sleep(12.0);
+    let victim = victim.load(Ordering::SeqCst);
+    if trouble && victim == 0 {
+        return could_not("no task ended at a machine with two connections");
+    }
+    let mut late = Vec::new();
+    for &id in &short {
+        let Some(ended_at) = is_over(id) else {
+            continue;
+        };
+        let told = owner.find(wire::RELEASE, id);
+        let is_in_time = told.is_some_and(|received| {
+            received
+                .at
+                .saturating_duration_since(ended_at)
+                .as_secs_f64()
+                <= RELEASE_LIMIT + SLACK
+        });
+        if !is_in_time {
+            late.push(format!("{id:016x}"));
+        }
+    }
+    Ok(if late.is_empty() {
+        Verdict::Held(format!("all {} ends were told in time", short.len()))
+    } else {
+        Verdict::Broken(format!(
+            "the owner was not told within 8 s that these tasks are over: {}",
+            late.join(", ")
+        ))
+    })
+}
+
+/// An owner that is back on a new connection gets no task placed there, as the machines are full.
+fn release_held_back(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    let deployment = Deployment::start(BOOKING, 10, 0.02, 1024, &no_resets(), record)?;
+    let first = 0xa001;
+    let owner = deployment.owner("owner", A, record)?;
+    owner.ask(&web(first, "a000000000000001", 0xa1, 7.0))?;
+    if owner.wait_for(wire::ANSWER, first, 6.0).is_none() {
+        return could_not("the task was not served");
+    }
+    let Some(machine) = deployment.holder(first).cloned() else {
+        return could_not("the task does not stand");
+    };
+    sleep(4.2);
+    owner.close();
+    if trouble {
+        record.line("all machines are full from here on");
+        deployment.machines.iter().for_each(|m| m.set_full(true));
+    }
+    sleep(1.0);
+    // Back before the end: the scheduler has a connection of this owner all the time.
+    let back = deployment.owner("owner, again", A, record)?;
+    let begin = Instant::now();
+    let mut next = first;
+    while begin.elapsed().as_secs_f64() < 18.0 {
+        next += 1;
+        let task = format!("{next:016x}");
+        back.ask(&web(next, &task, 0xa2, 60.0))?;
+        while back.find(wire::ANSWER, next).is_none() && back.find(wire::RELEASE, next).is_none() {
+            if begin.elapsed().as_secs_f64() > 18.0 {
+                break;
+            }
+            sleep(0.01);
+        }
+        sleep(2.0);
+    }
+    let Some(ended_at) = machine.ended_at(first) else {
+        return could_not("the task has not ended");
+    };
+    if ended_at < begin || back.ended_at().is_some() {
+        return could_not("the owner was not connected at the end of the task");
+    }
+    let waited = |received: owner::Received| {
+        received
+            .at
+            .saturating_duration_since(ended_at)
+            .as_secs_f64()
+    };
+    Ok(match back.find(wire::RELEASE, first).map(waited) {
+        Some(seconds) if seconds <= RELEASE_LIMIT + SLACK => {
+            Verdict::Held(format!("the owner was told after {seconds:.3} s"))
+        }
+        Some(seconds) => Verdict::Broken(format!("the owner was told only after {seconds:.1} s")),
+        None => Verdict::Broken(format!(
+            "the owner was connected from before the end of its task, and not told of it in {:.1} s",
+            ended_at.elapsed().as_secs_f64()
+        )),
+    })
+}
