--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -14,7 +14,7 @@
   rm -rf "$CASE_FOLDER"
 }
 trap finish EXIT
-timeout -k 1 115 target/review-2/standin partition "$here"
+timeout -k 1 115 target/review-2/standin restart-of-services "$here"
 case $? in
 0) exit 0 ;;
 1) exit 1 ;;
