A release to a machine is sent again until the machine has received it

Cause: a placed task was forgotten as soon as its release was written to a connection. A connection that ends or falls silent after the write loses the release, and nothing was left to send again. The same held for the cancel of an offer that was sent, and for a release that waited for a machine which was replaced at its address.

Change: the pool keeps each release until the machine has released the task itself, or has answered a health check that was sent after the release on the same connection. A connection that ends before that queues its releases again.

--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -45,6 +45,8 @@
     pub moved: u64,
     /// Placed tasks lost because their machine failed.
     pub lost: u64,
+    /// Releases to machines that could not be delivered in time, or were not kept for lack of memory.
+    pub releases_given_up: u64,
     /// Client connections closed by the gateway.
     pub closed: u64,
 }
--- a/crates/gateway/src/gateway/attempts.rs
+++ b/crates/gateway/src/gateway/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::{Gateway, Output};
 use crate::UpstreamId;
-use crate::message::{Message, RequestId, cause};
+use crate::message::{RequestId, cause};
 use crate::pool::{CancelReason, PoolAction};
 use crate::request_table::RequestState;
 use std::collections::BTreeSet;
@@ -156,9 +156,8 @@
         else {
             return;
         };
-        let ended = Message::release(id, cause::ENDED).encode();
         self.with_pool(outputs, |pool, actions| {
-            pool.notify(now, machine, ended, actions)
+            pool.release(now, machine, id, cause::ENDED, actions)
         });
         self.finish_placed(id, attempt, AttemptOutcome::Cancelled, None);
     }
--- a/crates/gateway/src/gateway/machines.rs
+++ b/crates/gateway/src/gateway/machines.rs
@@ -74,6 +74,13 @@
                     self.counts.unsent += 1;
                     self.attempt_ended(id, AttemptOutcome::NeverSent, None);
                 }
+                PoolEvent::ReleasesGivenUp(machine, count) => {
+                    self.counts.releases_given_up += count;
+                    let name = self.machine_name(machine);
+                    outputs.push(Output::Log(format!(
+                        "{count} releases to machine {name} could not be delivered; the tasks may run on there"
+                    )));
+                }
                 PoolEvent::MachineFailed(machine) => {
                     let name = self.machine_name(machine);
                     outputs.push(Output::Log(format!("machine {name} has failed")));
--- a/crates/gateway/src/gateway/upstream_messages.rs
+++ b/crates/gateway/src/gateway/upstream_messages.rs
@@ -23,6 +23,11 @@
             return;
         };
         let id = message.id;
+        match message.kind {
+            MessageKind::Release => self.pool.task_released(upstream, id),
+            MessageKind::HealthCheckReply => self.pool.health_check_answered(upstream),
+            _ => {}
+        }
         let state = self.requests.get(id).map(|request| request.state);
         let is_attempt_here = self.requests.is_attempt_on(id, upstream);
         let is_placed_here = matches!(
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -13,10 +13,13 @@
 mod maintenance;
 mod offers;
 mod peer;
+mod release_table;
+mod releases;
 
 pub use action::{PoolAction, PoolEvent};
 
 use peer::{HalfClosed, IdleClass, Peer, Upstream};
+use release_table::PendingReleases;
 
 use crate::UpstreamId;
 use crate::message::RequestId;
@@ -58,8 +61,6 @@
 /// A half-closed connection that its machine does not close within this time is closed. Until then, what the machine
 /// has written, such as the end of a task, is still read; an immediate close would lose it.
 const HALF_CLOSE_TIMEOUT: Seconds = 2.0;
-/// Messages queued for one machine until there is a connection to it; beyond that the oldest is dropped.
-const MAX_QUEUED_MESSAGES: usize = 1_000;
 /// Machines that adopted tasks name and the endpoint list does not; a task on a further one is not adopted.
 const MAX_UNLISTED_MACHINES: usize = 1_000;
 
@@ -113,6 +114,7 @@
     connections_examined: Cell<u64>,
     /// Connections half-closed here that their machines have not closed.
     half_closed: BTreeMap<UpstreamId, HalfClosed>,
+    releases: PendingReleases,
     last_upstream_id: u64,
     /// When the event loop last resumed after a stall; a message read then may have arrived long before.
     stalled_at: Seconds,
@@ -131,6 +133,7 @@
             idle: BTreeSet::new(),
             connections_examined: Cell::new(0),
             half_closed: BTreeMap::new(),
+            releases: PendingReleases::default(),
             last_upstream_id: 0,
             stalled_at: f64::NEG_INFINITY,
             max_connections: max_connections.max(2),
--- a/crates/gateway/src/pool/action.rs
+++ b/crates/gateway/src/pool/action.rs
@@ -34,6 +34,8 @@
     NeverSent(RequestId),
     /// The connection ended while this offer was pending, so the task may have run.
     Interrupted(RequestId),
+    /// So many releases to this machine were given up, as they could not be delivered.
+    ReleasesGivenUp(MachineId, u64),
     /// The machine has failed, so the tasks placed on it are lost.
     MachineFailed(MachineId),
     /// The machine is gone, and another one has its address and its connections.
--- a/crates/gateway/src/pool/address_reuse.rs
+++ b/crates/gateway/src/pool/address_reuse.rs
@@ -71,6 +71,7 @@
             return Vec::new();
         };
         let rebound = std::mem::take(&mut peer.upstreams);
+        self.releases.move_to(machine, successor);
         let mut offers = Vec::new();
         for &id in &rebound {
             let Some(upstream) = self.upstreams.get_mut(&id) else {
@@ -90,7 +91,7 @@
     }
 
     /// Sends a health check on an open connection, unless one is unanswered.
-    fn verify(
+    pub(super) fn verify(
         &mut self,
         now: Seconds,
         machine: MachineId,
--- a/crates/gateway/src/pool/capacity.rs
+++ b/crates/gateway/src/pool/capacity.rs
@@ -74,6 +74,8 @@
             last_received_at: now,
             last_used_at: now,
             health_check_sent_at: None,
+            health_checks_sent: 0,
+            health_checks_answered: 0,
             opened_at: now,
             idle_entry: None,
         };
@@ -116,7 +118,7 @@
         self.half_closed.insert(id, half_closed);
     }
 
-    /// Removes a connection from the pool and its indexes.
+    /// Removes a connection from the pool and its indexes. Releases that it may lose are queued again.
     pub(super) fn remove(&mut self, id: UpstreamId) -> Option<Upstream> {
         let upstream = self.upstreams.remove(&id)?;
         if let Some((class, since)) = upstream.idle_entry {
@@ -125,6 +127,7 @@
         if let Some(peer) = self.peers.get_mut(&upstream.machine) {
             peer.upstreams.remove(&id);
         }
+        self.releases.connection_ended(upstream.machine, id);
         self.update_idle_index(upstream.machine);
         Some(upstream)
     }
--- a/crates/gateway/src/pool/lifecycle.rs
+++ b/crates/gateway/src/pool/lifecycle.rs
@@ -9,7 +9,7 @@
 use tidespur_policy::interface::{MachineId, Seconds};
 
 impl Pool {
-    /// Handles a dial that succeeded: the connection's offers become ready, and the messages queued for its machine are
+    /// Handles a dial that succeeded: the connection's offers become ready, and the releases queued for its machine are
     /// written.
     pub fn opened(&mut self, now: Seconds, id: UpstreamId, actions: &mut Vec<PoolAction>) {
         let Some(upstream) = self.upstreams.get_mut(&id) else {
@@ -30,10 +30,8 @@
             peer.consecutive_refusals = 0;
             peer.needs_new_connection = false;
             peer.last_received_at = now;
-            while let Some(bytes) = peer.queued_messages.pop_front() {
-                actions.push(PoolAction::Write(id, bytes));
-            }
         }
+        self.send_queued_releases(now, machine, actions);
         self.update_idle_index(machine);
     }
 
--- a/crates/gateway/src/pool/maintenance.rs
+++ b/crates/gateway/src/pool/maintenance.rs
@@ -22,11 +22,15 @@
         self.close_timed_out(now, actions, events);
         self.half_close_idle(now, actions);
         self.close_half_closed(now, actions);
+        self.maintain_releases(now, actions, events);
         self.probe_peers(now, actions, events);
         let is_listed = |peer: &Peer| !peer.is_gone && !peer.address.is_empty();
         self.peers.retain(|_, peer| {
             is_listed(peer) || peer.placed_tasks > 0 || !peer.upstreams.is_empty()
         });
+        let peers = &self.peers;
+        self.releases
+            .retain_machines(|machine| peers.contains_key(&machine));
     }
 
     /// Closes the connections whose dial has timed out, then those whose health check has.
@@ -94,7 +98,7 @@
         }
     }
 
-    /// Probes the machines that hold a placed task or have queued messages, in the order of their last received
+    /// Probes the machines that hold a placed task or have queued releases, in the order of their last received
     /// message: with a fixed order, the last ones would never get a connection at capacity.
     fn probe_peers(
         &mut self,
@@ -105,11 +109,12 @@
         let mut peers: Vec<(Seconds, MachineId)> = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.placed_tasks > 0 || !peer.queued_messages.is_empty())
+            .filter(|&(&machine, peer)| peer.placed_tasks > 0 || self.releases.has_queued(machine))
             .map(|(&machine, peer)| (peer.last_received_at, machine))
             .collect();
         peers.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, machine) in peers {
+            self.send_queued_releases(now, machine, actions);
             self.probe_peer(now, machine, actions, events);
         }
     }
@@ -138,7 +143,7 @@
             return;
         }
         let next_dial_at = peer.next_dial_at;
-        let has_no_queued_message = peer.queued_messages.is_empty();
+        let has_no_queued_release = !self.releases.has_queued(machine);
         let open_upstreams = || {
             self.upstreams_to(machine)
                 .filter(|(_, upstream)| upstream.dialling_since.is_none())
@@ -150,7 +155,7 @@
             .map(|(id, _)| id);
         // At capacity, machines without a connection take turns.
         let waits_for_turn =
-            self.is_at_capacity() && silent_for < VISIT_INTERVAL && has_no_queued_message;
+            self.is_at_capacity() && silent_for < VISIT_INTERVAL && has_no_queued_release;
         let needs_dial = peer.needs_new_connection
             || most_recent.is_none() && !waits_for_turn
             || silent_for > HEALTH_CHECK_INTERVAL + HEALTH_CHECK_TIMEOUT;
@@ -176,6 +181,9 @@
             return;
         };
         upstream.health_check_sent_at = Some(now);
+        upstream.health_checks_sent += 1;
+        self.releases
+            .health_check_sent(machine, id, upstream.health_checks_sent);
         let health_check =
             Message::new(MessageKind::HealthCheck, RequestId(0)).with(code::CAUSE, &[0]);
         actions.push(PoolAction::Write(id, health_check.encode()));
--- a/crates/gateway/src/pool/offers.rs
+++ b/crates/gateway/src/pool/offers.rs
@@ -1,10 +1,8 @@
 //! Offers to machines: assignment to a connection, sending, withdrawal and cancellation.
 
-use super::{
-    CancelReason, MAX_QUEUED_MESSAGES, Pool, PoolAction, PoolEvent, STALL_RECHECK_TIMEOUT,
-};
+use super::{CancelReason, Pool, PoolAction, PoolEvent, STALL_RECHECK_TIMEOUT};
 use crate::UpstreamId;
-use crate::message::{Message, RequestId, cause};
+use crate::message::{RequestId, cause};
 use tidespur_policy::interface::{MachineId, Seconds};
 
 impl Pool {
@@ -37,6 +35,8 @@
         let upstream_id = fresh
             .or_else(|| self.dial(now, now, machine, actions))
             .or_else(|| shared(self))?;
+        // The machine gets this task anew; a release of an earlier offer would end it.
+        self.releases.remove(machine, id);
         let upstream = self.upstreams.get_mut(&upstream_id)?;
         let needs_check = upstream.is_idle()
             && upstream.last_received_at < self.stalled_at + STALL_RECHECK_TIMEOUT;
@@ -144,36 +144,6 @@
         self.update_idle_index(machine);
     }
 
-    /// Sends a message about a placed task to its machine, or queues it until there is a connection.
-    pub fn notify(
-        &mut self,
-        now: Seconds,
-        machine: MachineId,
-        bytes: Vec<u8>,
-        actions: &mut Vec<PoolAction>,
-    ) {
-        let healthy = self
-            .upstreams_to(machine)
-            .filter(|(_, upstream)| upstream.is_healthy());
-        let most_recent = healthy
-            .max_by(|a, b| a.1.last_received_at.total_cmp(&b.1.last_received_at))
-            .map(|(id, _)| id);
-        if let Some((id, upstream)) =
-            most_recent.and_then(|id| Some((id, self.upstreams.get_mut(&id)?)))
-        {
-            upstream.last_used_at = now;
-            actions.push(PoolAction::Write(id, bytes));
-            return self.update_idle_index(machine);
-        }
-        let Some(peer) = self.peers.get_mut(&machine) else {
-            return;
-        };
-        if peer.queued_messages.len() >= MAX_QUEUED_MESSAGES {
-            peer.queued_messages.pop_front();
-        }
-        peer.queued_messages.push_back(bytes);
-    }
-
     /// Removes an offer that was answered, so that its connection can carry another.
     pub fn settle_offer(&mut self, upstream: UpstreamId, id: RequestId) {
         if let Some(upstream) = self.upstreams.get_mut(&upstream) {
@@ -203,7 +173,9 @@
             .any(|(unsent, _)| *unsent == id);
         connection.unsent_offers.retain(|(unsent, _)| *unsent != id);
         let machine = connection.machine;
-        if connection.partially_written == Some(id) && connection.pending_offers.is_empty() {
+        let has_no_offers = connection.pending_offers.is_empty();
+        let is_dialling = connection.dialling_since.is_some();
+        if connection.partially_written == Some(id) && has_no_offers {
             // Otherwise the rest of the offer would be sent as soon as the machine reads. A message of the machine that
             // the close loses is repeated on the next connection.
             self.remove(upstream);
@@ -211,14 +183,9 @@
             return true;
         }
         if !was_unsent {
-            actions.push(PoolAction::Write(
-                upstream,
-                Message::release(id, cause::NORMAL).encode(),
-            ));
+            self.write_release(now, upstream, id, cause::NORMAL, actions);
         }
-        if connection.pending_offers.is_empty()
-            && (reason == CancelReason::TimedOut || connection.dialling_since.is_some())
-        {
+        if has_no_offers && (reason == CancelReason::TimedOut || is_dialling) {
             self.half_close(now, upstream, actions);
         }
         self.update_idle_index(machine);
--- a/crates/gateway/src/pool/peer.rs
+++ b/crates/gateway/src/pool/peer.rs
@@ -2,7 +2,7 @@
 
 use crate::UpstreamId;
 use crate::message::RequestId;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use tidespur_policy::interface::{MachineId, Seconds};
 
 /// A connection to a machine that is open or being dialled.
@@ -29,6 +29,8 @@
     /// Time of the last offer or message about a task, or of the dial.
     pub(super) last_used_at: Seconds,
     pub(super) health_check_sent_at: Option<Seconds>,
+    pub(super) health_checks_sent: u64,
+    pub(super) health_checks_answered: u64,
     pub(super) opened_at: Seconds,
     /// Class and sort key in the pool's index of idle connections; `None` while it is in use.
     pub(super) idle_entry: Option<(IdleClass, u64)>,
@@ -73,8 +75,6 @@
     pub(super) consecutive_refusals: u32,
     /// Earliest time of the next dial that maintenance starts.
     pub(super) next_dial_at: Seconds,
-    /// Messages to send once a connection opens.
-    pub(super) queued_messages: VecDeque<Vec<u8>>,
     /// Whether another connection is dialled although there is an open one. The machine sends the ends of its tasks
     /// again on a new connection; before its address was known, those on other connections were ignored.
     pub(super) needs_new_connection: bool,
