Busy clients beyond the limit on connections no longer hang the scheduler

Cause: a connection beyond the limit has another one checked, which is closed if it is idle. One that was not idle was kept, and the next one marked and checked in the same run of the event loop's step, which ends when no input is left; queued requests are taken between two runs only. So the checks had no end.

Change: at most eight connections are checked for a surplus one after an accept, and at each maintenance. While one more than the limit is open, new connections wait in the listener's backlog, so that busy clients don't use the descriptors for machines. Accepting is a module of its own.

--- a/crates/gateway-net/src/run.rs
+++ b/crates/gateway-net/src/run.rs
@@ -3,6 +3,7 @@
 //! It owns the gateway and all connections, and runs on one thread. Tasks that serve the whole loop run as long as the
 //! process; a reader ends with its connection, a dial with its entry in the table of connections.
 
+mod accept;
 mod bind;
 mod control;
 mod downstream;
--- a/crates/gateway-net/src/run/downstream.rs
+++ b/crates/gateway-net/src/run/downstream.rs
@@ -1,17 +1,12 @@
-//! Connections of clients: accepts, reads, checks, writes and closes them.
+//! Connections of clients: reads, checks, writes and closes them.
 
 use super::EventLoop;
 use crate::connection::Connection;
 use crate::socket::{READ_BUFFER_BYTES, WriteOutcome};
-use async_io::Async;
-use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use tidespur_gateway::input_queue::StepNumber;
 use tidespur_gateway::{DownstreamId, Input, PeerCheck};
 use tidespur_net::clock;
 
-/// Pause after a failed accept, in seconds. Without it the loop would spin while file descriptors are exhausted.
-const ACCEPT_BACKOFF: f64 = 0.02;
 /// A message must be complete this long after its first byte, in seconds. Guards against clients that send an
 /// incomplete message and keep the connection open: the platform requires that they are closed within 3 s after they
 /// connect. It also closes clients that need longer than this to send one message.
@@ -37,57 +32,12 @@
 }
 
 impl EventLoop {
-    /// Accepts connections until the gateway stops listening.
-    pub(super) async fn accept_clients(self: Rc<Self>) {
-        loop {
-            let Some(listener) = self.listener.borrow().clone() else {
-                return;
-            };
-            match listener.accept().await {
-                Ok((stream, from)) => {
-                    let step = self.accept_client(stream, from);
-                    // The queue is handled between two accepts, so that a flood of new connections does not delay the
-                    // open ones.
-                    while !self.queue.borrow().are_completions_taken(step) {
-                        futures_lite::future::yield_now().await;
-                    }
-                }
-                Err(error) => {
-                    tracing::warn!(scheduler = self.name, %error, "accept failed");
-                    clock::sleep(ACCEPT_BACKOFF).await;
-                }
-            }
-        }
-    }
-
-    /// Accepts the connections in the listener's backlog and closes the listener.
-    pub(super) fn stop_listening(self: &Rc<Self>) {
-        let Some(listener) = self.listener.borrow_mut().take() else {
-            return;
-        };
-        while let Ok((stream, from)) = listener.get_ref().accept() {
-            match Async::new(stream) {
-                Ok(stream) => drop(self.accept_client(stream, from)),
-                Err(error) => tracing::warn!(scheduler = self.name, %error, "accept failed"),
-            }
-        }
-        // Cancels the task that accepts connections, which also holds the listener.
-        self.accept_task.borrow_mut().take();
-    }
-
-    fn accept_client(self: &Rc<Self>, stream: Async<TcpStream>, from: SocketAddr) -> StepNumber {
-        let client = DownstreamId(self.next_client_id.replace(self.next_client_id.get() + 1));
-        let connection = Connection::new(stream, self.client_unsent.clone());
-        self.downstreams
-            .borrow_mut()
-            .insert(client, connection.clone());
-        let step = self.enqueue(Input::DownstreamOpened(client, from.ip()));
-        self.spawn(self.clone().serve_client(client, connection));
-        step
-    }
-
     /// Reads a client's messages until its connection ends, or an incomplete message times out.
-    async fn serve_client(self: Rc<Self>, client: DownstreamId, connection: Rc<Connection>) {
+    pub(super) async fn serve_client(
+        self: Rc<Self>,
+        client: DownstreamId,
+        connection: Rc<Connection>,
+    ) {
         while !connection.ended.get() {
             let first_message_deadline = if connection.has_sent_message.get() {
                 f64::INFINITY
--- a/crates/gateway/src/downstream.rs
+++ b/crates/gateway/src/downstream.rs
@@ -74,6 +74,11 @@
         self.downstreams.len()
     }
 
+    /// Whether another connection may be accepted: at most one more than the limit is open.
+    pub fn may_accept(&self) -> bool {
+        self.downstreams.len() <= self.max_connections
+    }
+
     /// Whether the connection was added and not removed.
     pub fn contains(&self, id: DownstreamId) -> bool {
         self.downstreams.contains_key(&id)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -71,6 +71,8 @@
     pending_releases: VecDeque<PendingRelease>,
     /// Offers that are sent once a check has shown that their clients are still connected.
     ready_offers: ReadyOffers,
+    /// How many more connections may be checked now because there are too many.
+    surplus_checks_left: u32,
     /// Set-ups whose id is in use on another connection, until that connection has been checked.
     id_conflicts: Vec<IdConflict>,
     shutdown: Option<GracefulShutdown>,
@@ -109,6 +111,7 @@
             timers: BTreeSet::new(),
             pending_releases: VecDeque::new(),
             ready_offers: ReadyOffers::default(),
+            surplus_checks_left: 0,
             id_conflicts: Vec::new(),
             shutdown: None,
             last_tick: 0.0,
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -17,6 +17,9 @@
 
 /// Delay until the next check after one that left unread bytes.
 const RECHECK_INTERVAL: Seconds = 0.02;
+/// Connections that are checked for a surplus one, after an opened connection and in each maintenance. A client that
+/// never stops sending is never idle, so that without a limit one check would follow the other.
+const MAX_SURPLUS_CHECKS: u32 = 8;
 
 /// Offers that can be sent once their clients have been checked.
 #[derive(Debug)]
@@ -76,7 +79,7 @@
                 self.close_client(now, client, outputs);
             } else {
                 self.downstreams.keep_open(now, client);
-                self.close_surplus(now, outputs);
+                self.check_surplus(now, outputs);
             }
         }
         if check == PeerCheck::MoreUnread {
@@ -152,13 +155,27 @@
         }
     }
 
-    /// If there are too many connections, has one checked, which is closed then if it is idle.
+    /// Has connections checked while there are too many, up to [`MAX_SURPLUS_CHECKS`], until one is idle and closed.
     pub(super) fn close_surplus(&mut self, now: Seconds, outputs: &mut Vec<Output>) {
-        outputs.extend(
-            self.downstreams
-                .mark_surplus(now)
-                .map(Output::CheckDownstream),
-        );
+        self.surplus_checks_left = MAX_SURPLUS_CHECKS;
+        self.check_surplus(now, outputs);
+    }
+
+    /// If there are too many connections, has one checked, which is closed then if it is idle.
+    fn check_surplus(&mut self, now: Seconds, outputs: &mut Vec<Output>) {
+        if self.surplus_checks_left == 0 {
+            return;
+        }
+        if let Some(client) = self.downstreams.mark_surplus(now) {
+            self.surplus_checks_left -= 1;
+            outputs.push(Output::CheckDownstream(client));
+        }
+    }
+
+    /// Whether another connection may be accepted. One more than the limit is, and replaces an idle one; while none is
+    /// idle, new connections wait in the listener's backlog.
+    pub fn may_accept(&self) -> bool {
+        self.downstreams.may_accept()
     }
 
     /// Handles a client's close of its connection: its pending requests are cancelled at once, before messages that are
--- a/crates/gateway/src/gateway/inputs.rs
+++ b/crates/gateway/src/gateway/inputs.rs
@@ -168,6 +168,7 @@
         for client in self.downstreams.mark_silent(now) {
             outputs.push(Output::CheckDownstream(client));
         }
+        self.close_surplus(now, outputs);
         // Bounds the memory for machines that were replaced: an entry is dropped once the pool has dropped the machine.
         let pool = &self.pool;
         self.machines.retain(|machine, _| pool.contains(*machine));
--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use tidespur_gateway::message::{Message, MessageKind, RequestId, cause, code};
-use tidespur_gateway::{DownstreamId, Input, Output};
+use tidespur_gateway::{DownstreamId, Input, Limits, Output, PeerCheck};
 
 #[test]
 fn invalid_set_ups_are_rejected_and_reach_no_machine() {
@@ -206,3 +206,37 @@
     harness.machine_sends(upstream, release(5, cause::NORMAL));
     assert_eq!(harness.sent_to(OTHER), [release(5, cause::NORMAL)]);
 }
+
+/// Guards against an event loop that checks busy connections in turn for ever: none of them can be closed.
+#[test]
+fn checks_for_a_surplus_connection_end_when_all_clients_are_busy() {
+    let limits = Limits {
+        downstreams: 2,
+        ..LIMITS
+    };
+    let mut harness = Harness::with_limits(1, limits);
+    assert!(harness.gateway.may_accept());
+    let mut inputs = vec![Input::DownstreamOpened(DownstreamId(3), address(3))];
+    let mut checks = 0;
+    while !inputs.is_empty() && checks < 1_000 {
+        harness.now += 0.001;
+        let mut outputs = Vec::new();
+        harness.gateway.step(harness.now, inputs, &mut outputs);
+        inputs = outputs
+            .iter()
+            .filter_map(|output| match output {
+                Output::CheckDownstream(client) => {
+                    Some(Input::DownstreamChecked(*client, PeerCheck::Queued))
+                }
+                _ => None,
+            })
+            .collect();
+        checks += inputs.len();
+    }
+    assert!(checks < 1_000, "the checks have no end");
+    assert!(!harness.gateway.may_accept(), "no client was closed");
+    // A later maintenance finds an idle one.
+    harness.advance(0.2, Dials::Unanswered);
+    assert_eq!(harness.closed_clients().len(), 1);
+    assert!(harness.gateway.may_accept());
+}
