Acknowledged rejections and crossing releases no longer close a connection

Cause: an acknowledgement counts as malformed unless a release was sent before it, and rejections that the gateway decides by itself were sent uncounted. The same held for releases of owners that cross the gateway's own, at a deadline or at the end of a task.

Change: all releases to clients are written and counted by one function; each allows one acknowledgement and one crossing release. The choice of a connection to an owner is a module of its own.

--- a/crates/gateway/src/downstream.rs
+++ b/crates/gateway/src/downstream.rs
@@ -1,9 +1,10 @@
 //! Registry of client connections: which are open, which to close, and which one reaches an owner.
 //!
 //! Owned by the gateway, which writes and closes; `accounting` counts the requests and malformed messages of each
-//! connection.
+//! connection, `routing` chooses the one that reaches an owner.
 
 mod accounting;
+mod routing;
 
 use crate::DownstreamId;
 use std::collections::BTreeMap;
@@ -47,6 +48,8 @@
     penalty: Penalty,
     /// Releases sent to the client that it has not acknowledged.
     unacknowledged_releases: u32,
+    /// Releases sent to the client that no release of its own has crossed.
+    uncrossed_releases: u32,
     /// Whether the client closed the connection; messages sent before that may still follow.
     peer_closed: bool,
     /// Why it will be closed if a check shows that it is idle; `None` if it stays open.
@@ -99,6 +102,7 @@
                 computed_at: now,
             },
             unacknowledged_releases: 0,
+            uncrossed_releases: 0,
             peer_closed: false,
             close_reason: None,
         };
@@ -195,32 +199,6 @@
         }
     }
 
-    /// Chooses a connection to an owner whose last connection was `id`, from `address`: that connection if it is
-    /// reachable, else the one used last from the same address, else the one used last by any owner. Other connections
-    /// than `id` are eligible only if they are an owner's, as another client may have the same address.
-    pub fn route_to_owner(
-        &self,
-        id: Option<DownstreamId>,
-        address: Option<IpAddr>,
-    ) -> Option<DownstreamId> {
-        if let Some(id) = id.filter(|id| self.is_reachable(*id)) {
-            return Some(id);
-        }
-        let owners = || {
-            self.downstreams
-                .iter()
-                .filter(|(_, client)| client.is_owner && !client.peer_closed)
-        };
-        let same_address = owners().filter(|(_, client)| Some(client.address) == address);
-        let by_last_use = |a: &(&DownstreamId, &Downstream), b: &(&DownstreamId, &Downstream)| {
-            a.1.last_used_at.total_cmp(&b.1.last_used_at)
-        };
-        same_address
-            .max_by(by_last_use)
-            .or_else(|| owners().max_by(by_last_use))
-            .map(|(&id, _)| id)
-    }
-
     /// IP address of a client; `None` once its connection is removed.
     pub fn address(&self, id: DownstreamId) -> Option<IpAddr> {
         self.downstreams.get(&id).map(|client| client.address)
--- a/crates/gateway/src/downstream/accounting.rs
+++ b/crates/gateway/src/downstream/accounting.rs
@@ -33,13 +33,25 @@
         })
     }
 
-    /// Counts a release that was sent. The client may acknowledge it once.
+    /// Counts a release that was sent. The client may acknowledge it once, and its own release may cross it.
     pub fn release_sent(&mut self, id: DownstreamId) {
         if let Some(client) = self.downstreams.get_mut(&id) {
             client.unacknowledged_releases = client.unacknowledged_releases.saturating_add(1);
+            client.uncrossed_releases = client.uncrossed_releases.saturating_add(1);
         }
     }
 
+    /// Counts a release of the client that may have crossed one sent to it; returns false if none was sent that
+    /// another one has not crossed.
+    pub fn release_crossed(&mut self, id: DownstreamId) -> bool {
+        let Some(client) = self.downstreams.get_mut(&id) else {
+            return false;
+        };
+        let may_cross = client.uncrossed_releases > 0;
+        client.uncrossed_releases = client.uncrossed_releases.saturating_sub(1);
+        may_cross
+    }
+
     /// Counts an acknowledgement. One that no release preceded counts as malformed; returns whether the client exceeds
     /// the limit.
     pub fn release_acknowledged(&mut self, now: Seconds, id: DownstreamId) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 mod io;
 mod machines;
 mod owner_messages;
+mod recent_ends;
 mod requests;
 mod set_ups;
 mod shutdown;
@@ -22,6 +23,7 @@
 use clients::ReadyOffers;
 use id_conflicts::IdConflict;
 use owner_messages::PendingRelease;
+use recent_ends::RecentEnds;
 use shutdown::GracefulShutdown;
 
 use crate::counts::{Counts, ExaminedCounts, Sizes};
@@ -75,6 +77,7 @@
     surplus_checks_left: u32,
     /// Set-ups whose id is in use on another connection, until that connection has been checked.
     id_conflicts: Vec<IdConflict>,
+    recent_ends: RecentEnds,
     shutdown: Option<GracefulShutdown>,
     last_tick: Seconds,
     last_step: Seconds,
@@ -113,6 +116,7 @@
             ready_offers: ReadyOffers::default(),
             surplus_checks_left: 0,
             id_conflicts: Vec::new(),
+            recent_ends: RecentEnds::default(),
             shutdown: None,
             last_tick: 0.0,
             last_step: 0.0,
--- a/crates/gateway/src/gateway/attempts.rs
+++ b/crates/gateway/src/gateway/attempts.rs
@@ -176,6 +176,7 @@
         if let RequestState::Placed { machine, .. } = request.state {
             self.pool.task_ended(machine);
         }
+        self.recent_ends.record(id);
         self.downstreams.task_ended(request.client);
         self.counts.ended += 1;
         self.events.push(attempt_ended_event(
--- a/crates/gateway/src/gateway/owner_messages.rs
+++ b/crates/gateway/src/gateway/owner_messages.rs
@@ -1,7 +1,8 @@
 //! Messages to the owners of requests, on whichever connection reaches them.
 
 use super::{Gateway, Output};
-use crate::message::RequestId;
+use crate::DownstreamId;
+use crate::message::{Message, RequestId};
 use std::net::IpAddr;
 
 /// Releases queued until there is a connection to their owner; beyond that the oldest is dropped.
@@ -24,10 +25,7 @@
             .downstreams
             .route_to_owner(Some(request.client), request.client_address)
         {
-            Some(client) => {
-                self.downstreams.release_sent(client);
-                outputs.push(Output::WriteDownstream(client, bytes));
-            }
+            Some(client) => self.write_release(client, bytes, outputs),
             None => {
                 let release = PendingRelease {
                     client_address: request.client_address,
@@ -53,8 +51,25 @@
             let Some(PendingRelease { bytes, .. }) = self.pending_releases.pop_front() else {
                 return;
             };
-            self.downstreams.release_sent(client);
-            outputs.push(Output::WriteDownstream(client, bytes));
+            self.write_release(client, bytes, outputs);
         }
     }
+
+    /// Rejects a set-up that is not in the request table.
+    pub(super) fn reject(
+        &mut self,
+        client: DownstreamId,
+        id: RequestId,
+        release_cause: u8,
+        outputs: &mut Vec<Output>,
+    ) {
+        let release = Message::release(id, release_cause);
+        self.write_release(client, release.encode(), outputs);
+    }
+
+    /// Writes a message that its client may acknowledge.
+    fn write_release(&mut self, client: DownstreamId, bytes: Vec<u8>, outputs: &mut Vec<Output>) {
+        self.downstreams.release_sent(client);
+        outputs.push(Output::WriteDownstream(client, bytes));
+    }
 }
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -47,7 +47,7 @@
         outputs: &mut Vec<Output>,
     ) -> bool {
         let Some(request) = self.requests.get(id) else {
-            return self.downstreams.record_malformed(now, client);
+            return self.release_of_unknown_id(now, client, id);
         };
         match request.state {
             RequestState::Pending { .. } if request.client == client => {
@@ -64,4 +64,10 @@
             }
         }
     }
+    /// Handles a release for a request that has ended: the release may have crossed the gateway's own. Any other one
+    /// counts as malformed. Returns whether the client exceeds the limit on malformed messages.
+    fn release_of_unknown_id(&mut self, now: Seconds, client: DownstreamId, id: RequestId) -> bool {
+        let has_crossed = self.recent_ends.take(id) || self.downstreams.release_crossed(client);
+        !has_crossed && self.downstreams.record_malformed(now, client)
+    }
 }
--- a/crates/gateway/src/gateway/set_ups.rs
+++ b/crates/gateway/src/gateway/set_ups.rs
@@ -94,7 +94,7 @@
             let release_cause = end_cause
                 .filter(|&end_cause| end_cause != cause::ENDED)
                 .unwrap_or(cause::FAILED);
-            return release_client(client, id, release_cause, outputs);
+            return self.reject(client, id, release_cause, outputs);
         }
         self.machines
             .entry(machine)
@@ -145,7 +145,7 @@
         self.downstreams.record_valid_set_up(now, client);
         if is_rejected {
             self.counts.rejected += 1;
-            return release_client(client, id, cause::CONGESTED, outputs);
+            return self.reject(client, id, cause::CONGESTED, outputs);
         }
         self.counts.accepted += 1;
         self.downstreams.request_opened(now, client);
@@ -168,7 +168,7 @@
                 "rejected the set-up of request {id}: {error}"
             )));
         }
-        release_client(client, id, cause::INVALID_CONTENT, outputs);
+        self.reject(client, id, cause::INVALID_CONTENT, outputs);
         if self.downstreams.record_malformed(now, client) {
             self.close_client(now, client, outputs);
         }
@@ -185,13 +185,3 @@
         self.close_client(now, client, outputs);
     }
 }
-
-fn release_client(
-    client: DownstreamId,
-    id: RequestId,
-    release_cause: u8,
-    outputs: &mut Vec<Output>,
-) {
-    let release = Message::release(id, release_cause);
-    outputs.push(Output::WriteDownstream(client, release.encode()));
-}
