Ends of tasks that a connection lost in a partition or a reset are asked for again

Cause: a machine writes the end of a task to one connection, and again only to the next one that is opened. The pool closed silent connections, which lost what was written there, and dialled none while another one worked. A connection that came up in the partition and was closed after its health check took the repeated ends with it.

Change: the pool records that a message may be lost (reset, silence, malformed bytes, a half-close without an answer), and dials until a connection is open that was dialled later. A connection without an answer to its health check is read until its machine counts as failed, instead of closed. A reset is an input of its own.

--- a/crates/gateway-net/src/run/step.rs
+++ b/crates/gateway-net/src/run/step.rs
@@ -14,7 +14,9 @@
             // Connections that were closed here before are skipped: the gateway knows of their ends.
             inputs.retain(|input| match input {
                 Input::DownstreamClosed(client) => self.remove_client(*client),
-                Input::UpstreamEnded(upstream) => self.close_upstream(*upstream),
+                Input::UpstreamEnded(upstream) | Input::UpstreamReset(upstream) => {
+                    self.close_upstream(*upstream)
+                }
                 _ => true,
             });
             let mut outputs = Vec::new();
--- a/crates/gateway-net/src/run/upstream.rs
+++ b/crates/gateway-net/src/run/upstream.rs
@@ -94,7 +94,7 @@
             (WriteOutcome::NotWritten, offer) => Some(Input::UpstreamWriteFailed(upstream, offer)),
             (WriteOutcome::Failed, _) => self
                 .close_upstream(upstream)
-                .then_some(Input::UpstreamEnded(upstream)),
+                .then_some(Input::UpstreamReset(upstream)),
         }
     }
 
@@ -176,11 +176,16 @@
     fn read_upstream_once(&self, upstream: UpstreamId, connection: &Connection) -> bool {
         let read = match connection.socket.try_read(&self.read_buffer) {
             Ok(None) => return false,
-            Ok(Some(0)) | Err(_) => {
+            Ok(Some(0)) => {
                 connection.ended.set(true);
                 self.enqueue(Input::UpstreamEnded(upstream));
                 return true;
             }
+            Err(_) => {
+                connection.ended.set(true);
+                self.enqueue(Input::UpstreamReset(upstream));
+                return true;
+            }
             Ok(Some(read)) => read,
         };
         let to_input = |message| Input::UpstreamMessage(upstream, message);
--- a/crates/gateway/src/gateway/inputs.rs
+++ b/crates/gateway/src/gateway/inputs.rs
@@ -87,7 +87,10 @@
             Input::UpstreamConnectRefused(upstream) => {
                 self.upstream_ended(now, upstream, ConnectionEnd::Refused, outputs);
             }
-            Input::UpstreamEnded(upstream) | Input::UpstreamConnectFailed(upstream) => {
+            Input::UpstreamEnded(upstream) => {
+                self.upstream_ended(now, upstream, ConnectionEnd::Closed, outputs);
+            }
+            Input::UpstreamReset(upstream) | Input::UpstreamConnectFailed(upstream) => {
                 self.upstream_ended(now, upstream, ConnectionEnd::Other, outputs);
             }
             Input::UpstreamWriteFailed(upstream, offer) => {
--- a/crates/gateway/src/gateway/io.rs
+++ b/crates/gateway/src/gateway/io.rs
@@ -116,8 +116,10 @@
     UpstreamMalformed(UpstreamId),
     /// Answers [`PoolAction::CheckPeer`], after the messages that were read from the machine.
     UpstreamChecked(UpstreamId),
-    /// A connection to a machine ended.
+    /// The machine closed a connection, and all that it had sent on it was read.
     UpstreamEnded(UpstreamId),
+    /// A connection to a machine was reset, and what the machine had sent on it may be lost.
+    UpstreamReset(UpstreamId),
     /// A connection to a machine ended, and no byte of the last write was sent: of this offer, or of another message.
     UpstreamWriteFailed(UpstreamId, Option<RequestId>),
     /// The machine accepts no bytes at present, and no byte of this offer was sent; its bytes are returned.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -38,7 +38,7 @@
 const STALL_RECHECK_TIMEOUT: Seconds = 0.05;
 /// A machine that holds a placed task and sent nothing for this long gets a health check.
 const HEALTH_CHECK_INTERVAL: Seconds = 1.0;
-/// A connection on which a health check is not answered within this time is closed.
+/// A connection on which a health check is not answered within this time is used no more, and only read.
 const HEALTH_CHECK_TIMEOUT: Seconds = 1.5;
 /// A machine that sent nothing for this long and can't be dialled has failed, and the tasks placed on it are lost. The
 /// platform allows 8 s from the failure, which is later than the last message; the difference covers a late tick. With
@@ -100,7 +100,10 @@
     /// No byte of the last write was sent: of this offer, or of another message. The connection is still read to its
     /// end.
     WriteFailed(Option<RequestId>),
-    /// The connection ended, or the dial failed for another reason.
+    /// The machine closed the connection, and all that it had sent was read.
+    Closed,
+    /// The connection was reset or given up, or the dial failed for another reason. What the machine had sent may be
+    /// lost.
     Other,
 }
 
--- a/crates/gateway/src/pool/capacity.rs
+++ b/crates/gateway/src/pool/capacity.rs
@@ -1,6 +1,8 @@
 //! Connection capacity: dials, and replaces idle connections when the limit is reached.
 
-use super::{HalfClosed, IdleClass, MAX_HALF_CLOSED, Pool, PoolAction, Upstream};
+use super::{
+    HALF_CLOSE_TIMEOUT, HalfClosed, IdleClass, MAX_HALF_CLOSED, Pool, PoolAction, Upstream,
+};
 use crate::UpstreamId;
 use crate::request_table::micros;
 use tidespur_policy::interface::{MachineId, Seconds};
@@ -98,7 +100,7 @@
         if upstream.dialling_since.is_some() {
             return actions.push(PoolAction::Close(id));
         }
-        self.keep_reading(now, id, upstream.machine, upstream.address);
+        self.keep_reading(now, id, &upstream, HALF_CLOSE_TIMEOUT);
         actions.push(PoolAction::HalfClose(id));
     }
 
@@ -107,13 +109,14 @@
         &mut self,
         now: Seconds,
         id: UpstreamId,
-        machine: MachineId,
-        address: String,
+        upstream: &Upstream,
+        timeout: Seconds,
     ) {
         let half_closed = HalfClosed {
-            machine,
-            address,
+            machine: upstream.machine,
+            address: upstream.address.clone(),
             since: now,
+            timeout,
         };
         self.half_closed.insert(id, half_closed);
     }
--- a/crates/gateway/src/pool/endpoints.rs
+++ b/crates/gateway/src/pool/endpoints.rs
@@ -21,7 +21,10 @@
         // A gone machine whose address another machine took over doesn't get it back, as the other may listen there.
         let is_replaced = is_gone && peer.address.is_empty();
         if !address.is_empty() && !is_replaced {
-            peer.needs_new_connection |= peer.placed_tasks > 0 && peer.address != address;
+            // Ends on connections to the address were ignored before it was known to be the machine's.
+            if peer.placed_tasks > 0 && peer.address != address {
+                peer.message_lost_at = Some(now);
+            }
             peer.address = address.to_owned();
         }
         peer.is_gone = is_gone;
--- a/crates/gateway/src/pool/lifecycle.rs
+++ b/crates/gateway/src/pool/lifecycle.rs
@@ -1,7 +1,8 @@
 //! Lifecycle of a connection: opened, message received, ended. Interprets its end for its offers and its machine.
 
 use super::{
-    ConnectionEnd, DIAL_BACKOFF, HEALTH_CHECK_INTERVAL, Pool, PoolAction, PoolEvent, Upstream,
+    ConnectionEnd, DIAL_BACKOFF, HALF_CLOSE_TIMEOUT, HEALTH_CHECK_INTERVAL,
+    MACHINE_FAILURE_TIMEOUT, Pool, PoolAction, PoolEvent, Upstream,
 };
 use crate::UpstreamId;
 use crate::message::RequestId;
@@ -25,10 +26,11 @@
                 .map(|(offer, _)| PoolAction::OfferReady(id, *offer)),
         );
         let machine = upstream.machine;
+        let dialled_at = upstream.dialled_at;
         if let Some(peer) = self.peers.get_mut(&machine) {
             peer.consecutive_failures = 0;
             peer.consecutive_refusals = 0;
-            peer.needs_new_connection = false;
+            peer.message_lost_at = peer.message_lost_at.filter(|&lost_at| dialled_at < lost_at);
             peer.last_received_at = now;
         }
         self.send_queued_releases(now, machine, actions);
@@ -61,17 +63,26 @@
         events: &mut Vec<PoolEvent>,
     ) {
         let is_still_read = matches!(end, ConnectionEnd::WriteFailed(_));
+        let is_dialling = self
+            .upstreams
+            .get(&id)
+            .is_some_and(|upstream| upstream.dialling_since.is_some());
+        if end == ConnectionEnd::Other
+            && !is_dialling
+            && let Some(machine) = self.machine(id)
+        {
+            self.message_may_be_lost(now, machine);
+        }
         if !is_still_read {
             self.half_closed.remove(&id);
         }
-        let Some(mut upstream) = self.remove(id) else {
+        let Some(upstream) = self.remove(id) else {
             return;
         };
         let machine = upstream.machine;
         let was_dialling = upstream.dialling_since.is_some();
         if is_still_read {
-            let address = std::mem::take(&mut upstream.address);
-            self.keep_reading(now, id, machine, address);
+            self.keep_reading(now, id, &upstream, HALF_CLOSE_TIMEOUT);
         }
         end_offers(upstream, end, events);
         if was_dialling {
@@ -79,6 +90,14 @@
         }
     }
 
+    /// Records that what a machine has sent may not have been read: another connection to it is dialled while it holds
+    /// a placed task.
+    pub(super) fn message_may_be_lost(&mut self, now: Seconds, machine: MachineId) {
+        if let Some(peer) = self.peers.get_mut(&machine) {
+            peer.message_lost_at = Some(now);
+        }
+    }
+
     /// Counts a failed dial. A machine that refuses two dials in a row has failed, unless it sent something recently on
     /// another connection: then it may refuse because it has too many connections.
     fn dial_failed(
@@ -106,7 +125,33 @@
         }
     }
 
-    /// Closes a connection at once, as its bytes are malformed or it has timed out.
+    /// Stops using a connection on which a health check was not answered: ends its offers, and half-closes it. It is read
+    /// until the machine counts as failed: in a partition the machine may write the ends of tasks there, and they arrive
+    /// once the partition ends. One that is blocked is closed, as the rest of an offer would be sent before the half-close.
+    pub(super) fn retire(
+        &mut self,
+        now: Seconds,
+        id: UpstreamId,
+        actions: &mut Vec<PoolAction>,
+        events: &mut Vec<PoolEvent>,
+    ) {
+        if self
+            .upstreams
+            .get(&id)
+            .is_some_and(|upstream| upstream.blocked)
+        {
+            return self.abort(now, id, actions, events);
+        }
+        let Some(upstream) = self.remove(id) else {
+            return;
+        };
+        self.message_may_be_lost(now, upstream.machine);
+        self.keep_reading(now, id, &upstream, MACHINE_FAILURE_TIMEOUT);
+        actions.push(PoolAction::HalfClose(id));
+        end_offers(upstream, ConnectionEnd::Other, events);
+    }
+
+    /// Closes a connection at once, as its bytes are malformed or its dial has timed out.
     pub fn abort(
         &mut self,
         now: Seconds,
--- a/crates/gateway/src/pool/maintenance.rs
+++ b/crates/gateway/src/pool/maintenance.rs
@@ -2,9 +2,8 @@
 //! of the machines that hold placed tasks.
 
 use super::{
-    DIAL_BACKOFF, HALF_CLOSE_TIMEOUT, HEALTH_CHECK_INTERVAL, HEALTH_CHECK_TIMEOUT, IdleClass,
-    MACHINE_FAILURE_TIMEOUT, Peer, Pool, PoolAction, PoolEvent, REQUIRED_CONNECTION_MIN_AGE,
-    Upstream, VISIT_INTERVAL,
+    DIAL_BACKOFF, HEALTH_CHECK_INTERVAL, HEALTH_CHECK_TIMEOUT, IdleClass, MACHINE_FAILURE_TIMEOUT,
+    Peer, Pool, PoolAction, PoolEvent, REQUIRED_CONNECTION_MIN_AGE, Upstream, VISIT_INTERVAL,
 };
 use crate::UpstreamId;
 use crate::message::{Message, MessageKind, RequestId, code};
@@ -33,7 +32,7 @@
             .retain_machines(|machine| peers.contains_key(&machine));
     }
 
-    /// Closes the connections whose dial has timed out, then those whose health check has.
+    /// Gives up the dials that have timed out, then stops using the connections whose health check has.
     fn close_timed_out(
         &mut self,
         now: Seconds,
@@ -51,11 +50,12 @@
                 .health_check_sent_at
                 .is_some_and(|sent_at| now - sent_at > HEALTH_CHECK_TIMEOUT)
         };
-        let mut timed_out = self.upstreams_where(is_dial_timed_out);
-        timed_out.extend(self.upstreams_where(is_check_timed_out));
-        for id in timed_out {
+        for id in self.upstreams_where(is_dial_timed_out) {
             self.abort(now, id, actions, events);
         }
+        for id in self.upstreams_where(is_check_timed_out) {
+            self.retire(now, id, actions, events);
+        }
     }
 
     /// Half-closes connections that have been idle for too long and are not required. Each one is examined again before
@@ -86,14 +86,15 @@
 
     /// Closes half-closed connections that their machines have not closed in time.
     fn close_half_closed(&mut self, now: Seconds, actions: &mut Vec<PoolAction>) {
-        let timed_out: Vec<UpstreamId> = self
+        let timed_out: Vec<(UpstreamId, MachineId)> = self
             .half_closed
             .iter()
-            .filter(|(_, half_closed)| now - half_closed.since > HALF_CLOSE_TIMEOUT)
-            .map(|(&id, _)| id)
+            .filter(|(_, half_closed)| now - half_closed.since > half_closed.timeout)
+            .map(|(&id, half_closed)| (id, half_closed.machine))
             .collect();
-        for id in timed_out {
+        for (id, machine) in timed_out {
             self.half_closed.remove(&id);
+            self.message_may_be_lost(now, machine);
             actions.push(PoolAction::Close(id));
         }
     }
@@ -156,7 +157,7 @@
         // At capacity, machines without a connection take turns.
         let waits_for_turn =
             self.is_at_capacity() && silent_for < VISIT_INTERVAL && has_no_queued_release;
-        let needs_dial = peer.needs_new_connection
+        let needs_dial = peer.message_lost_at.is_some()
             || most_recent.is_none() && !waits_for_turn
             || silent_for > HEALTH_CHECK_INTERVAL + HEALTH_CHECK_TIMEOUT;
         if let Some(id) = most_recent
--- a/crates/gateway/src/pool/offers.rs
+++ b/crates/gateway/src/pool/offers.rs
@@ -176,9 +176,9 @@
         let has_no_offers = connection.pending_offers.is_empty();
         let is_dialling = connection.dialling_since.is_some();
         if connection.partially_written == Some(id) && has_no_offers {
-            // Otherwise the rest of the offer would be sent as soon as the machine reads. A message of the machine that
-            // the close loses is repeated on the next connection.
+            // Otherwise the rest of the offer would be sent as soon as the machine reads.
             self.remove(upstream);
+            self.message_may_be_lost(now, machine);
             actions.push(PoolAction::Close(upstream));
             return true;
         }
--- a/crates/gateway/src/pool/peer.rs
+++ b/crates/gateway/src/pool/peer.rs
@@ -75,9 +75,10 @@
     pub(super) consecutive_refusals: u32,
     /// Earliest time of the next dial that maintenance starts.
     pub(super) next_dial_at: Seconds,
-    /// Whether another connection is dialled although there is an open one. The machine sends the ends of its tasks
-    /// again on a new connection; before its address was known, those on other connections were ignored.
-    pub(super) needs_new_connection: bool,
+    /// When a message of the machine may have been lost last; `None` once a connection was opened that was dialled
+    /// later. Until then another connection is dialled although there is an open one, as the machine sends the ends
+    /// of its tasks again only on a new one.
+    pub(super) message_lost_at: Option<Seconds>,
 }
 
 /// A connection that is closed for writing and still read.
@@ -86,4 +87,6 @@
     pub(super) machine: MachineId,
     pub(super) address: String,
     pub(super) since: Seconds,
+    /// Closed if the machine has not closed it after this time.
+    pub(super) timeout: Seconds,
 }
