Of machines that are not listed, only the start of the name is kept

Cause: a hand-over counts with 1 KiB, but the name of its machine was kept whole for up to 1,000 unlisted machines, and written to a log line each in the step in which they count as failed.

Change: 64 characters of the name are kept, for the log; machines are told apart by a hash of the whole name.

--- a/crates/gateway/src/gateway/set_ups.rs
+++ b/crates/gateway/src/gateway/set_ups.rs
@@ -11,6 +11,8 @@
 
 /// An invalid set-up is logged only while the count of malformed messages is below this, to bound the log.
 const MAX_LOGGED_MALFORMED: u64 = 20;
+/// The start of an unlisted machine's name that is kept, for the log. Clients can name machines that don't exist.
+const MAX_UNLISTED_NAME_CHARS: usize = 64;
 
 impl Gateway {
     /// Handles a set-up. One without an id closes its connection, as an answer to it would be ambiguous.
@@ -99,7 +101,7 @@
         self.machines
             .entry(machine)
             .or_insert_with(|| KnownMachine {
-                name: name.to_owned(),
+                name: name.chars().take(MAX_UNLISTED_NAME_CHARS).collect(),
                 started_at: None,
             });
         self.counts.adopted += 1;
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use tidespur_gateway::input_queue::InputQueue;
 use tidespur_gateway::message::{Message, MessageKind, RequestId, cause, code};
-use tidespur_gateway::{DownstreamId, Input, Limits, MemoryLimits};
+use tidespur_gateway::{DownstreamId, Input, Limits, MemoryLimits, Output};
 
 /// Limit on the memory of the process: the lowest that the platform gives.
 const PROCESS_BYTES: usize = 32_000_000;
@@ -176,3 +176,17 @@
         prop_assert_eq!(harness.gateway.sizes().pending_bytes, 0);
     }
 }
+
+/// Guards against names of machines that do not exist, which take memory twice when the machines count as failed.
+#[test]
+fn of_a_machine_that_does_not_exist_only_the_start_of_its_name_is_kept() {
+    let mut harness = Harness::new(1);
+    harness.client_sends(OWNER, handover(5, &"é".repeat(7_000)));
+    harness.advance(8.0, Dials::Unanswered);
+    let lines = harness.outputs.iter().filter_map(|output| match output {
+        Output::Log(line) => Some(line.len()),
+        _ => None,
+    });
+    let longest = lines.max().expect("the failure is logged");
+    assert!(longest < 300, "{longest} bytes");
+}
--- a/crates/planner/tests/gateway_memory.rs
+++ b/crates/planner/tests/gateway_memory.rs
@@ -131,6 +131,36 @@
     assert!(memory < MEMORY_MB, "{memory:.1} MB of {MEMORY_MB} MB");
 }
 
+/// Guards against names of machines that do not exist, each of up to 16 KiB: as many as are kept, beside the requests
+/// and incomplete messages of all connections.
+#[test]
+fn hand_overs_that_name_unknown_machines_stay_within_the_limit_on_memory() {
+    let large = |id| with_parameters(set_up(id), &[(250, &[b'?'; 15_000])]);
+    let hand_over = |id: u64| {
+        let requirements = format!("cores:1;memory:2;service:1;at:s-{id:015000}");
+        let class: &[u8] = b"web";
+        let name: &[u8] = b"name";
+        message(
+            1,
+            id,
+            &[(180, class), (192, name), (195, requirements.as_bytes())],
+        )
+    };
+    let flood = Flood {
+        clients: 450,
+        requests: 20,
+        last_bytes: large(1)[..15_000].to_vec(),
+    };
+    let memory = flood.memory_mb("memory-names", |id| {
+        if id.is_multiple_of(2) {
+            large(id)
+        } else {
+            hand_over(id)
+        }
+    });
+    assert!(memory < MEMORY_MB, "{memory:.1} MB of {MEMORY_MB} MB");
+}
+
 /// Guards against the sum of what is bounded for each connection: all connections of clients, each with requests and an
 /// incomplete message.
 #[test]
