REST API: request bodies that are being read share a bounded memory

Cause: the length of one body and the number of connections are limited, but not their product.

Change: bodies that are being read or handled share memory for 32 of the longest ones, by the dynamic thresholds of the gateway's budget, which moves to units. A body without room is answered 429 with Retry-After, before the request is handled. Reading bodies is a module of its own.

The other listeners were not tried.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,6 @@
 //! owns the requests and their attempts; [`pool::Pool`] owns the connections to machines. The policy decides which
 //! machine gets a task, how long an attempt may take and which task is rejected. `gateway-net` runs it on sockets.
 
-pub mod byte_budget;
 pub mod counts;
 pub mod discovery;
 pub mod downstream;
@@ -19,6 +18,7 @@
 
 pub use error::GatewayError;
 pub use gateway::{Gateway, Input, Limits, MemoryLimits, Output, PeerCheck};
+pub use tidespur_units::byte_budget;
 
 /// Id of a connection that a client opened; assigned by the event loop and never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/rest/src/handle.rs
+++ b/crates/rest/src/handle.rs
@@ -2,13 +2,12 @@
 
 use crate::verbs::VerbResult;
 use crate::{Api, Hooks, RequestLog, RequestOptions, Route, Target, route};
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use std::sync::Arc;
 use tidespur_api::{ApiError, Object, openapi, resource};
-use tidespur_net::body::{self, BodyError};
+use tidespur_net::body;
 use tidespur_net::{Body, server};
 
 /// HTTP request handler of an API.
@@ -42,28 +41,9 @@
             );
             return response;
         }
-        let body = body::read(incoming, api.limits.max_body_bytes, api.limits.body_timeout).await;
-        let outcome = match body {
-            Ok(body) => respond(api, &head, body).await,
-            Err(BodyError::TooLarge) => Err(ApiError::new(
-                413,
-                "RequestEntityTooLarge",
-                format!(
-                    "the body is longer than {} bytes, which is the most",
-                    api.limits.max_body_bytes
-                ),
-            )),
-            Err(BodyError::TimedOut) => Err(ApiError::new(
-                408,
-                "Timeout",
-                format!(
-                    "the body was not there within {} s",
-                    api.limits.body_timeout
-                ),
-            )),
-            Err(BodyError::Interrupted) => {
-                Err(ApiError::bad_request("the body ended before it was whole"))
-            }
+        let outcome = match api.read_body(incoming).await {
+            Ok(body) => respond(api, &head, body.bytes()).await,
+            Err(error) => Err(error),
         };
         let (status, answer) = match outcome {
             Ok(Success::Object(status, object, warnings)) => (status, Ok((object, warnings))),
@@ -113,7 +93,7 @@
 async fn respond<H: Hooks>(
     api: &Arc<Api<H>>,
     head: &hyper::http::request::Parts,
-    body: Bytes,
+    body: &[u8],
 ) -> Result<Success, ApiError> {
     let path = head.uri.path();
     let is_get = head.method == Method::GET;
@@ -123,7 +103,7 @@
         }
         Route::Other => api
             .hooks
-            .handle_other(head.method.as_str(), path, &body)
+            .handle_other(head.method.as_str(), path, body)
             .unwrap_or_else(|| Err(ApiError::no_such_path()))
             .map(|object| Success::Object(200, object, vec![])),
         Route::Objects(_) => Err(ApiError::no_such_path()),
@@ -191,7 +171,7 @@
     api: &Arc<Api<H>>,
     head: &hyper::http::request::Parts,
     target: &Target,
-    body: Bytes,
+    body: &[u8],
 ) -> Result<Success, ApiError> {
     let mut options = RequestOptions::parse(head.uri.query().unwrap_or(""))?;
     options.watch |= target.watch;
@@ -223,16 +203,16 @@
         }
         (&Method::GET, true) => api.get(target),
         (&Method::GET, false) => api.list(target, &options),
-        (&Method::POST, false) => api.create(target, &options, &head.headers, &body).await,
-        (&Method::PUT, true) => api.replace(target, &options, &head.headers, &body).await,
+        (&Method::POST, false) => api.create(target, &options, &head.headers, body).await,
+        (&Method::PUT, true) => api.replace(target, &options, &head.headers, body).await,
         (&Method::PATCH, true) => {
-            api.patch(target, &options, &head.headers, media, &body)
+            api.patch(target, &options, &head.headers, media, body)
                 .await
         }
         (&Method::DELETE, true) if !target.status => {
-            api.delete(target, &options, &head.headers, &body).await
+            api.delete(target, &options, &head.headers, body).await
         }
-        (&Method::DELETE, false) => api.delete_collection(target, &options, &body),
+        (&Method::DELETE, false) => api.delete_collection(target, &options, body),
         _ => Err(ApiError::method_not_allowed()),
     };
     let (status, object, mut warnings) = result?;
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod handle;
 mod options;
+mod request_body;
 mod route;
 mod verbs;
 mod watch;
@@ -17,6 +18,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use tidespur_api::{ApiError, Object, Resource, meta};
+use tidespur_net::body::BodyMemory;
 use tidespur_store::{Precondition, Store};
 
 /// Limits of the API. Times are seconds.
@@ -206,6 +208,7 @@
     store: Mutex<Store>,
     changed: Event,
     watch_generation: AtomicU64,
+    body_memory: BodyMemory,
     /// Limits of requests and watches.
     pub limits: Limits,
     /// Extension points that the program implements.
@@ -219,6 +222,7 @@
             store: Mutex::new(store),
             changed: Event::new(),
             watch_generation: AtomicU64::new(0),
+            body_memory: request_body::memory(&limits),
             limits,
             hooks,
         }
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -1,4 +1,6 @@
-//! Units that all packages share. No I/O and no state.
+//! Units that all packages share, and a budget of bytes. No I/O.
+
+pub mod byte_budget;
 
 use std::ops::{Add, AddAssign, Div, Mul, Neg, Sub, SubAssign};
 
