Tests: the gateway is stopped only after its shutdown has begun

The line and the step are one poll of the event loop; the test now has a health check answered after the line, so that the step has been taken. What it asserts is as before.

--- a/crates/planner/tests/gateway_crossing_events.rs
+++ b/crates/planner/tests/gateway_crossing_events.rs
@@ -39,6 +39,9 @@
     let (connection, _) = machine.wait_for_set_up();
     gateway.signal("-TERM");
     gateway.wait_for_log("told to end");
+    // The line is written before the shutdown begins, both at once for the event loop: it answers this check after that.
+    owner.write_all(&message(52, 9, &[(222, &[0])])).unwrap();
+    assert_eq!(read_message(&mut owner).0, 53);
     let mut new = gateway.while_stopped(|| {
         // The gateway takes requests for 0.7 s after SIGTERM. It is stopped for longer, and then finds all of these
         // messages at once.
